--- /dev/null
+++ b/Makefile
@@ -0,0 +1,56 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: setup run test lint format types bench slopes lock proto clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock packages/dandelionpond/pyproject.toml \
+		packages/dandelionpond-ctl/pyproject.toml packages/standins/pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check \
+		--require-hashes -r requirements.lock
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps \
+		--no-build-isolation -e packages/dandelionpond \
+		-e packages/dandelionpond-ctl -e packages/standins
+	touch $(STAMP)
+
+run: setup
+	$(PYTHON) -m dandelionpond_standins.demo
+
+test: setup
+	$(PYTHON) -m pytest
+
+lint: setup
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+
+format: setup
+	$(PYTHON) -m ruff check --fix .
+	$(PYTHON) -m ruff format .
+
+types: setup
+	$(PYTHON) -m mypy
+
+bench: setup
+	$(PYTHON) -m dandelionpond_standins.bench
+
+slopes: setup
+	$(PYTHON) -m dandelionpond_standins.slopes
+
+# Needs uv on the path. The lock records hashes and no download address.
+lock:
+	uv pip compile --quiet --generate-hashes --no-emit-index-url --no-annotate \
+		--no-header --universal --python-version 3.11 requirements.in \
+		-o requirements.lock
+
+proto: setup
+	$(PYTHON) -m grpc_tools.protoc -I packages/dandelionpond/src \
+		--python_out=packages/dandelionpond/src \
+		--grpc_python_out=packages/dandelionpond/src \
+		--pyi_out=packages/dandelionpond/src \
+		packages/dandelionpond/src/dandelionpond/peer/peer.proto
+
+clean:
+	rm -rf $(VENV) .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Check, compare and operate dandelionpond from the command line."""
--- /dev/null
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/main.py
@@ -0,0 +1,5 @@
+"""Run the node from the command line."""
+
+
+def main() -> None:
+    """Start the command line."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between decisions and the wire forms of outside systems."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/config/__init__.py
@@ -0,0 +1,1 @@
+"""Merge, check and distribute the published settings."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/config/local.py
@@ -0,0 +1,51 @@
+"""Read the local settings file of one node."""
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from expression import Error, Ok, Result
+
+Address = Annotated[
+    str, msgspec.Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")
+]
+
+
+class Seed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Name another node that a starting node may ask first."""
+
+    name: str
+    peer_address: Address
+    failure_domain: str
+
+
+class LocalSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold what a node must know before it can reach anything else.
+
+    Addresses are `IP:port`. `operator_key_hash` is the SHA-256 hash of the operators'
+    bearer key, in hexadecimal. `log_level` is a level name of `logging`.
+    """
+
+    name: str
+    failure_domain: str
+    caller_address: Address
+    operator_address: Address
+    peer_address: Address
+    platform_url: str
+    operator_key_hash: Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
+    settings_prefix: str = "settings/"
+    seeds: tuple[Seed, ...] = ()
+    log_level: str = "INFO"
+    random_seed: int | None = None
+    tls_certificate: str | None = None
+    tls_private_key: str | None = None
+
+
+def load_local_settings(path: Path) -> Result[LocalSettings, str]:
+    """Read and check a local settings file; an error is one line of text."""
+    try:
+        return Ok(msgspec.json.decode(path.read_bytes(), type=LocalSettings))
+    except OSError as error:
+        return Error(f"{path}: {error.strerror}")
+    except msgspec.MsgspecError as error:
+        return Error(f"{path}: {error}")
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/hashing.py
@@ -0,0 +1,24 @@
+"""Rank names for a key by rendezvous hashing.
+
+Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998.
+"""
+
+import heapq
+from collections.abc import Iterable
+
+import xxhash
+
+
+def score(key: str, name: str) -> int:
+    """Return the 64-bit weight of a name for a key."""
+    return xxhash.xxh3_64_intdigest(f"{key}\x00{name}")
+
+
+def top(key: str, names: Iterable[str], count: int) -> list[str]:
+    """Return up to `count` names with the highest weight for a key, best first."""
+    return heapq.nlargest(count, names, key=lambda name: (score(key, name), name))
+
+
+def owner(key: str, names: Iterable[str]) -> str | None:
+    """Return the name with the highest weight for a key, or None without names."""
+    return max(names, key=lambda name: (score(key, name), name), default=None)
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/http/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers and operators over HTTP."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Admit work by client account and share fleet-wide limits."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/limits/settings.py
@@ -0,0 +1,25 @@
+"""Hold the limits section and the limits of a client account."""
+
+import msgspec
+
+
+class AccountLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bound one client account over the whole fleet.
+
+    `tokens_per_s` counts prompt and generated tokens; `burst_tokens` is the bucket's
+    size; `concurrency` counts requests in flight.
+    """
+
+    tokens_per_s: float = 100_000.0
+    burst_tokens: float = 2_000_000.0
+    concurrency: int = 1_000
+
+
+class LimitsSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Set how fleet-wide limits are shared and how requests queue; times in seconds."""
+
+    grant_ttl_s: float = 10.0
+    report_interval_s: float = 1.0
+    floor_share: float = 0.1
+    max_queue: int = 2_000
+    max_queue_per_account: int = 500
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Track peers and the states of upstreams."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Track leases on engine memory until their release is confirmed."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Give engines fenced orders to load models or change role."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange messages between nodes over gRPC."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/record/__init__.py
@@ -0,0 +1,1 @@
+"""Record decisions and decide them again."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Run attempts, retries, streams and at-most-once calls."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choose an engine for each prompt."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/shutdown/__init__.py
@@ -0,0 +1,1 @@
+"""Step a node through a planned stop."""
--- /dev/null
+++ b/packages/standins/src/dandelionpond_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for outside systems, generate load and measure."""
