Add the callers' and operators' HTTP edges, logs, metrics and the command line

Cause: callers and operators need their interfaces before the decisions are wired.

Ruled out: starlette's test client, which needs another HTTP library and no real socket; the tests use real listeners, so slow bodies and callers that read nothing are real. uvicorn's own 400 answer is plain text without an error kind and is replaced.

A test of the slow body failed at first because the test client kept writing after the server had answered; the client now stops when the answer is complete.

Conclusion: each bad input of the table gets its kind, and nothing reaches the gateway.

--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/http/operators.py
@@ -0,0 +1,162 @@
+"""Serve the operators' API: health, metrics, state, decisions and drain."""
+
+import asyncio
+import functools
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Protocol
+
+import msgspec
+from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
+from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
+from starlette.requests import Request
+from starlette.responses import Response, StreamingResponse
+from starlette.routing import Route
+
+from dandelionpond.errors import ErrorKind, Failure
+from dandelionpond.http.answers import error_response, json_response
+from dandelionpond.http.keys import bearer_key, matches
+from dandelionpond.http.openapi import operators_description
+from dandelionpond.http.server import new_request_id
+
+NDJSON = "application/x-ndjson"
+
+
+class NodeView(Protocol):
+    """Give operators what a node knows and let them drain it."""
+
+    @property
+    def live(self) -> bool:
+        """Return whether the event loop makes progress."""
+        ...
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the load balancer should send requests."""
+        ...
+
+    @property
+    def registry(self) -> CollectorRegistry:
+        """Return the registry of metrics."""
+        ...
+
+    def status(self) -> dict[str, object]:
+        """Return a short summary of the node."""
+        ...
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of every slice, without keys or prompt text."""
+        ...
+
+    def usage(self) -> dict[str, object]:
+        """Return what each client account used and was refused on this node."""
+        ...
+
+    def explain(self, request_id: str) -> list[bytes]:
+        """Return the decision records of one request as JSON."""
+        ...
+
+    def decisions(self, follow: bool) -> AsyncIterator[bytes]:
+        """Yield decision records as JSON lines, then wait for more if asked to."""
+        ...
+
+    def drain(self) -> dict[str, object]:
+        """Start a planned stop; repeating it changes nothing."""
+        ...
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class OperatorsApi:
+    """Serve a node's view to holders of the operators' key.
+
+    `/livez` and `/readyz` need no key, because the platform's load balancer has none.
+    """
+
+    def __init__(self, view: NodeView, key_hash: str) -> None:
+        self._view = view
+        self._key_hash = key_hash
+
+    def app(self) -> Starlette:
+        """Return the ASGI application."""
+        routes = [
+            Route("/livez", self._livez, methods=["GET"]),
+            Route("/readyz", self._readyz, methods=["GET"]),
+            self._route("/metrics", self._metrics),
+            self._route("/v1/status", self._status),
+            self._route("/v1/dump", self._dump),
+            self._route("/v1/usage", self._usage),
+            self._route("/v1/decisions", self._decisions),
+            self._route("/v1/requests/{request_id}", self._explain),
+            self._route("/v1/drain", self._drain, method="POST"),
+            self._route("/v1/openapi.json", self._openapi),
+        ]
+        handlers = {HTTPException: self._http_error}
+        return Starlette(routes=routes, exception_handlers=handlers)  # type: ignore[arg-type]
+
+    def _route(self, path: str, handler: Handler, method: str = "GET") -> Route:
+        @functools.wraps(handler)
+        async def endpoint(request: Request) -> Response:
+            key = bearer_key(request.headers)
+            if key.is_error():
+                return error_response(key.error, new_request_id())
+            if not matches(key.ok, self._key_hash):
+                failure = Failure(ErrorKind.INVALID_KEY, "the bearer key is not known")
+                return error_response(failure, new_request_id())
+            return await handler(request)
+
+        return Route(path, endpoint, methods=[method])
+
+    async def _http_error(self, request: Request, error: Exception) -> Response:
+        assert isinstance(error, HTTPException)
+        message = f"{request.method} {request.url.path} is not served here"
+        failure = Failure(ErrorKind.UNKNOWN_PATH, message)
+        return error_response(failure, new_request_id())
+
+    async def _livez(self, request: Request) -> Response:
+        return _health(self._view.live)
+
+    async def _readyz(self, request: Request) -> Response:
+        return _health(self._view.ready)
+
+    async def _metrics(self, request: Request) -> Response:
+        body = generate_latest(self._view.registry)
+        return Response(body, media_type=CONTENT_TYPE_LATEST)
+
+    async def _status(self, request: Request) -> Response:
+        return json_response(self._view.status())
+
+    async def _dump(self, request: Request) -> Response:
+        return json_response(self._view.dump())
+
+    async def _usage(self, request: Request) -> Response:
+        return json_response(self._view.usage())
+
+    async def _explain(self, request: Request) -> Response:
+        records = self._view.explain(request.path_params["request_id"])
+        return json_response({"records": [msgspec.Raw(record) for record in records]})
+
+    async def _decisions(self, request: Request) -> Response:
+        follow = request.query_params.get("follow", "false") == "true"
+        lines = self._view.decisions(follow)
+        return StreamingResponse(lines, media_type=NDJSON)
+
+    async def _drain(self, request: Request) -> Response:
+        return json_response(self._view.drain(), status=202)
+
+    async def _openapi(self, request: Request) -> Response:
+        return json_response(operators_description())
+
+
+def _health(healthy: bool) -> Response:
+    return json_response({"ok": healthy}, status=200 if healthy else 503)
+
+
+async def measure_loop_lag(report: Callable[[float], None], interval_s: float) -> None:
+    """Report by how many seconds each timer of the event loop came late."""
+    loop = asyncio.get_running_loop()
+    while True:
+        due = loop.time() + interval_s
+        await asyncio.sleep(interval_s)
+        report(loop.time() - due)
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/http/tests/test_callers.py
@@ -0,0 +1,339 @@
+"""Test the callers' API over real sockets."""
+
+import asyncio
+import contextlib
+import json
+
+import aiohttp
+import pytest
+
+from dandelionpond.errors import ErrorKind, Failure
+from dandelionpond.http.callers import CallersApi
+from dandelionpond.http.gateway import Delta, End
+from dandelionpond.http.server import HttpListener, bind
+from dandelionpond.http.tests.fakes import KEY, FakeGateway
+
+AUTH = {"Authorization": f"Bearer {KEY}"}
+PROMPT = {"model": "small", "prompt": "hello"}
+
+
+@contextlib.asynccontextmanager
+async def serving(gateway):
+    listener = HttpListener(CallersApi(gateway).app(), bind("127.0.0.1:0"))
+    await listener.start()
+    try:
+        async with aiohttp.ClientSession(f"http://{listener.address}") as session:
+            yield session, listener.address
+    finally:
+        await listener.stop()
+
+
+async def send_raw(address, data, delay_s=0.0):
+    """Send parts of a request and return the answer up to its closing braces."""
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    answer = asyncio.ensure_future(reader.readuntil(b"}}"))
+    with contextlib.suppress(ConnectionError):
+        for part in data:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.wait({answer}, timeout=delay_s)
+    received = await answer
+    writer.transport.abort()
+    return received
+
+
+BAD_REQUESTS = [
+    ("bad_json", "/v1/completions", b"{", {}, 400, ErrorKind.INVALID_JSON),
+    (
+        "not_utf8",
+        "/v1/completions",
+        b'{"model":"small","prompt":"\xff"}',
+        {},
+        400,
+        ErrorKind.INVALID_JSON,
+    ),
+    (
+        "wrong_type",
+        "/v1/completions",
+        b'{"model":"small","prompt":5}',
+        {},
+        400,
+        ErrorKind.INVALID_REQUEST,
+    ),
+    (
+        "no_messages",
+        "/v1/chat/completions",
+        b'{"model":"small","messages":[]}',
+        {},
+        400,
+        ErrorKind.INVALID_REQUEST,
+    ),
+    (
+        "unknown_model",
+        "/v1/completions",
+        b'{"model":"none","prompt":"a"}',
+        {},
+        404,
+        ErrorKind.UNKNOWN_MODEL,
+    ),
+    (
+        "model_not_permitted",
+        "/v1/completions",
+        b'{"model":"other","prompt":"a"}',
+        {},
+        404,
+        ErrorKind.UNKNOWN_MODEL,
+    ),
+    (
+        "prompt_too_long",
+        "/v1/completions",
+        json.dumps({"model": "small", "prompt": "a" * 4_001}).encode(),
+        {},
+        400,
+        ErrorKind.PROMPT_TOO_LONG,
+    ),
+    (
+        "body_too_large",
+        "/v1/completions",
+        b" " * 20_001,
+        {},
+        413,
+        ErrorKind.BODY_TOO_LARGE,
+    ),
+    (
+        "missing_key",
+        "/v1/completions",
+        b"{}",
+        {"Authorization": ""},
+        401,
+        ErrorKind.MISSING_KEY,
+    ),
+    (
+        "wrong_key",
+        "/v1/completions",
+        b"{}",
+        {"Authorization": "Bearer x"},
+        401,
+        ErrorKind.INVALID_KEY,
+    ),
+    (
+        "deadline_over",
+        "/v1/completions",
+        b"{}",
+        {"X-Request-Timeout-Ms": "0"},
+        400,
+        ErrorKind.INVALID_TIMEOUT,
+    ),
+    (
+        "deadline_not_a_number",
+        "/v1/completions",
+        b"{}",
+        {"X-Request-Timeout-Ms": "soon"},
+        400,
+        ErrorKind.INVALID_TIMEOUT,
+    ),
+    (
+        "unknown_service",
+        "/v1/services/none/calls",
+        b"{}",
+        {},
+        404,
+        ErrorKind.UNKNOWN_SERVICE,
+    ),
+    (
+        "service_not_permitted",
+        "/v1/services/pay/calls",
+        b"{}",
+        {},
+        404,
+        ErrorKind.UNKNOWN_SERVICE,
+    ),
+    ("unknown_path", "/v2/completions", b"{}", {}, 404, ErrorKind.UNKNOWN_PATH),
+]
+
+
+class TestBadInput:
+    @pytest.mark.parametrize(
+        ("path", "body", "headers", "status", "kind"),
+        [case[1:] for case in BAD_REQUESTS],
+        ids=[case[0] for case in BAD_REQUESTS],
+    )
+    def test_is_refused_before_anything_is_sent(
+        self, path, body, headers, status, kind
+    ):
+        """Guard against bad input that reaches an upstream or gets a vague answer."""
+
+        async def scenario():
+            gateway = FakeGateway(max_body_bytes=20_000)
+            async with serving(gateway) as (session, _):
+                response = await session.post(path, data=body, headers=AUTH | headers)
+                return gateway, response, await response.json()
+
+        gateway, response, body = asyncio.run(scenario())
+        assert response.status == status
+        assert body["error"]["code"] == kind
+        assert body["error"]["execution"] == "not_run"
+        assert response.headers["X-Execution"] == "not_run"
+        assert body["error"]["request_id"] == response.headers["X-Request-Id"]
+        assert gateway.prompts == gateway.calls == 0
+        assert gateway.errors == [kind]
+
+    def test_control_character_in_a_header(self):
+        """Guard against header values that could be split on the way upstream."""
+
+        async def scenario():
+            async with serving(FakeGateway()) as (_, address):
+                request = (
+                    b"GET /v1/models HTTP/1.1\r\nHost: a\r\nX-Note: a\x01b\r\n\r\n"
+                )
+                return await send_raw(address, [request])
+
+        answer = asyncio.run(scenario())
+        assert answer.startswith(b"HTTP/1.1 400 ")
+        assert b'"code":"invalid_header"' in answer
+
+    def test_body_at_one_byte_at_a_time(self):
+        """Guard against a slow body that holds a connection past its time limit."""
+
+        async def scenario():
+            gateway = FakeGateway(body_timeout_s=0.2)
+            async with serving(gateway) as (_, address):
+                head = (
+                    b"POST /v1/completions HTTP/1.1\r\nHost: a\r\n"
+                    b"Content-Length: 1000\r\nAuthorization: Bearer "
+                    + KEY.encode()
+                    + b"\r\n\r\n"
+                )
+                answer = await send_raw(address, [head] + [b" "] * 1000, delay_s=0.05)
+            return gateway, answer
+
+        gateway, answer = asyncio.run(scenario())
+        assert answer.startswith(b"HTTP/1.1 408 ")
+        assert gateway.prompts == 0
+
+
+class TestPrompt:
+    def test_whole_answer(self):
+        """Guard against an answer that loses or reorders text."""
+
+        async def scenario():
+            gateway = FakeGateway([Delta("one ", 1), Delta("two", 1), End(2)])
+            async with serving(gateway) as (session, _):
+                answer = await session.post(
+                    "/v1/completions", json=PROMPT, headers=AUTH
+                )
+                return await answer.json()
+
+        body = asyncio.run(scenario())
+        assert body["choices"][0]["text"] == "one two"
+        assert body["usage"]["completion_tokens"] == 2
+
+    @pytest.mark.parametrize("path", ["/v1/completions", "/v1/chat/completions"])
+    def test_streamed_answer_ends_with_done(self, path):
+        """Guard against a stream whose end a caller cannot recognise."""
+        body = PROMPT | {"stream": True, "messages": [{"role": "user", "content": "a"}]}
+
+        async def scenario():
+            gateway = FakeGateway([Delta('a "quoted"\n', 2), End(2)])
+            async with serving(gateway) as (session, _):
+                answer = await session.post(path, json=body, headers=AUTH)
+                return answer.headers["Content-Type"], await answer.text()
+
+        content_type, text = asyncio.run(scenario())
+        events = text.strip().split("\n\n")
+        assert content_type.startswith("text/event-stream")
+        assert events[-1] == "data: [DONE]"
+        choice = json.loads(events[0].removeprefix("data: "))["choices"][0]
+        text = choice["delta"]["content"] if "chat" in path else choice["text"]
+        assert text == 'a "quoted"\n'
+
+    def test_failure_before_the_first_token_has_its_status(self):
+        """Guard against a failure hidden in a successful status."""
+        failure = Failure(ErrorKind.OVERLOADED, "full", retry_after_s=0.3)
+
+        async def scenario():
+            async with serving(FakeGateway([failure])) as (session, _):
+                body = PROMPT | {"stream": True}
+                answer = await session.post("/v1/completions", json=body, headers=AUTH)
+                return answer.status, answer.headers["Retry-After"]
+
+        assert asyncio.run(scenario()) == (503, "1")
+
+    def test_failure_within_a_stream_sends_no_done(self):
+        """Guard against a truncated answer that looks complete."""
+        failure = Failure(ErrorKind.ANSWER_INCOMPLETE, "the engine stopped")
+
+        async def scenario():
+            events = [Delta("one", 1), failure]
+            async with serving(FakeGateway(events)) as (session, _):
+                body = PROMPT | {"stream": True}
+                answer = await session.post("/v1/completions", json=body, headers=AUTH)
+                return await answer.text()
+
+        text = asyncio.run(scenario())
+        assert "[DONE]" not in text
+        assert '"code":"answer_incomplete"' in text
+
+    def test_caller_that_leaves_stops_the_prompt(self):
+        """Guard against an engine that works for a caller that has gone."""
+
+        async def scenario():
+            never = asyncio.Event()
+            gateway = FakeGateway([Delta("one", 1), never.wait])
+            async with serving(gateway) as (session, _):
+                body = PROMPT | {"stream": True}
+                answer = await session.post("/v1/completions", json=body, headers=AUTH)
+                await answer.content.readany()
+                answer.close()
+                await asyncio.wait_for(gateway.closed.wait(), 30)
+            return gateway.errors
+
+        assert asyncio.run(scenario()) == [ErrorKind.CALLER_GONE]
+
+    def test_caller_that_reads_nothing_is_ended_by_its_deadline(self):
+        """Guard against a caller that holds an answer without reading it."""
+
+        async def scenario():
+            events = [Delta("x" * 100_000, 1) for _ in range(400)]
+            gateway = FakeGateway(events)
+            async with serving(gateway) as (_, address):
+                host, port = address.split(":")
+                _, writer = await asyncio.open_connection(host, int(port), limit=1)
+                body = json.dumps(PROMPT | {"stream": True}).encode()
+                head = (
+                    f"POST /v1/completions HTTP/1.1\r\nHost: a\r\n"
+                    f"Content-Length: {len(body)}\r\nX-Request-Timeout-Ms: 300\r\n"
+                    f"Authorization: Bearer {KEY}\r\n\r\n"
+                )
+                writer.write(head.encode() + body)
+                await asyncio.wait_for(gateway.closed.wait(), 30)
+                writer.transport.abort()
+            return gateway.errors
+
+        assert asyncio.run(scenario()) == [ErrorKind.CALLER_GONE]
+
+
+class TestCall:
+    def test_answer_is_passed_on(self):
+        """Guard against a changed body of a plain call."""
+
+        async def scenario():
+            async with serving(FakeGateway()) as (session, _):
+                path = "/v1/services/stock/calls"
+                answer = await session.post(path, data=b"[1]", headers=AUTH)
+                return answer.headers["X-Execution"], await answer.read()
+
+        assert asyncio.run(scenario()) == ("ran", b"[1]")
+
+    def test_draining_node_refuses(self):
+        """Guard against work that starts on a node about to stop."""
+
+        async def scenario():
+            gateway = FakeGateway()
+            gateway.accepting = False
+            async with serving(gateway) as (session, _):
+                answer = await session.get("/v1/models", headers=AUTH)
+                return answer.status, (await answer.json())["error"]["code"]
+
+        assert asyncio.run(scenario()) == (503, "draining")
