--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/config/tests/test_keeper.py
@@ -0,0 +1,64 @@
+"""Test which revision is in force."""
+
+from dandelionpond.config import keeper as keeper_module
+from dandelionpond.config.keeper import Accepted, Refused, SettingsKeeper, Stale
+
+ONE = {"10-a.json": b'{"limits": {"max_queue": 1}}', "20-b.json": b"{}"}
+TWO = {**ONE, "20-b.json": b'{"limits": {"max_queue": 2}}'}
+BAD = {"10-a.json": b'{"limits": {"max_queue": "x"}}'}
+
+
+class TestSettingsKeeper:
+    def test_never_goes_back(self):
+        """Guard against an older revision from a stale replica."""
+        keeper = SettingsKeeper()
+        assert isinstance(keeper.offer(5, ONE, 0.0), Accepted)
+        assert keeper.offer(4, TWO, 1.0) == Stale(4, 5)
+        assert keeper.offer(5, ONE, 1.0) == Stale(5, 5)
+        assert keeper.merged.settings.limits.max_queue == 1
+        assert keeper.counters.stale == 2
+
+    def test_refusal_keeps_settings(self):
+        """Guard against settings lost to an invalid revision."""
+        keeper = SettingsKeeper()
+        keeper.offer(5, ONE, 0.0)
+        verdict = keeper.offer(6, BAD, 1.0)
+        assert isinstance(verdict, Refused)
+        assert keeper.refusal.revision == 6
+        assert keeper.refusal.errors == verdict.errors
+        assert keeper.revision == 5
+        assert keeper.merged.settings.limits.max_queue == 1
+        assert isinstance(keeper.offer(7, TWO, 2.0), Accepted)
+        assert keeper.merged.settings.limits.max_queue == 2
+
+    def test_same_revision_with_different_bytes(self):
+        """Guard against two contents under one revision number."""
+        keeper = SettingsKeeper()
+        keeper.offer(5, ONE, 0.0)
+        assert isinstance(keeper.offer(5, TWO, 0.0), Refused)
+        keeper.offer(6, BAD, 0.0)
+        assert isinstance(keeper.offer(6, TWO, 0.0), Refused)
+        assert keeper.counters.conflicts == 2
+        assert keeper.revision == 5
+
+    def test_total_size_is_bounded(self, monkeypatch):
+        """Guard against memory that grows without a bound."""
+        monkeypatch.setattr(keeper_module, "MAX_TOTAL_BYTES", 20)
+        keeper = SettingsKeeper()
+        assert isinstance(keeper.offer(1, ONE, 0.0), Refused)
+        assert keeper.counters.too_large == 1
+
+    def test_peer_fetches_only_what_it_misses(self):
+        """Guard against a transfer of the whole folder for one change."""
+        source, target = SettingsKeeper(), SettingsKeeper()
+        source.offer(2, TWO, 0.0)
+        target.offer(1, ONE, 0.0)
+        received = source.missing(target.held_hashes())
+        assert [item.name for item in received] == ["20-b.json"]
+        files = target.assemble(source.manifest(), received).ok
+        assert files == TWO
+        target.offer(2, files, 0.0)
+        assert target.digest == source.digest
+        wrong = [keeper_module.FileContent("x", i.hash, b"?") for i in received]
+        fresh = SettingsKeeper()
+        assert fresh.assemble(source.manifest(), wrong).is_error()
--- /dev/null
+++ b/packages/standins/src/dandelionpond_standins/config_slopes.py
@@ -0,0 +1,108 @@
+"""Measure the cost of settings changes against the size of the folder."""
+
+import hashlib
+import resource
+import time
+
+import msgspec
+
+from dandelionpond.config.keeper import Accepted, SettingsKeeper
+
+
+class ConfigCost(msgspec.Struct, frozen=True):
+    """Report CPU seconds for the first merge and for each one-file change."""
+
+    client_accounts: int
+    upstreams: int
+    files: int
+    total_bytes: int
+    first_s: float
+    change_s: float
+    max_rss_mb: float
+
+
+def account_file(index: int, count: int, per_file: int, weight: float = 1.0) -> bytes:
+    """Return one file of client accounts."""
+    first = index * per_file
+    accounts = {
+        f"account-{i:05}": {
+            "key_hashes": [hashlib.sha256(f"demo-{i}".encode()).hexdigest()],
+            "models": [f"model-{i % 37:02}"],
+            "weight": weight,
+            "limits": {"tokens_per_s": 1000.0, "concurrency": 100},
+        }
+        for i in range(first, min(first + per_file, count))
+    }
+    return msgspec.json.encode({"client_accounts": accounts})
+
+
+def folder(client_accounts: int, upstreams: int, per_file: int) -> dict[str, bytes]:
+    """Return a folder of the given size with 37 models and 8 failure domains."""
+    base = {
+        "failure_domains": {f"domain-{i}": {} for i in range(8)},
+        "models": {
+            f"model-{i:02}": {"version": "1", "max_prompt_tokens": 1_000_000}
+            for i in range(37)
+        },
+    }
+    files = {"10-base.json": msgspec.json.encode(base)}
+    for index in range(-(-client_accounts // per_file)):
+        content = account_file(index, client_accounts, per_file)
+        files[f"20-accounts-{index:05}.json"] = content
+    for index in range(-(-upstreams // per_file)):
+        engines = {
+            f"engine-{i:05}": {
+                "kind": "engine",
+                "failure_domain": f"domain-{i % 8}",
+                "url": f"http://10.0.{i // 250}.{i % 250}:8000",
+                "models": [f"model-{i % 37:02}"],
+            }
+            for i in range(index * per_file, min((index + 1) * per_file, upstreams))
+        }
+        content = msgspec.json.encode({"upstreams": engines})
+        files[f"30-upstreams-{index:05}.json"] = content
+    return files
+
+
+def measure_change(
+    client_accounts: int, upstreams: int, per_file: int, changes: int = 20
+) -> ConfigCost:
+    """Offer a folder, then change one file of accounts at a time."""
+    files = folder(client_accounts, upstreams, per_file)
+    keeper = SettingsKeeper()
+    start = time.process_time()
+    verdict = keeper.offer(1, files, 0.0)
+    first_s = time.process_time() - start
+    if not isinstance(verdict, Accepted):
+        raise ValueError(f"the measured folder is refused: {verdict}")
+    spent = 0.0
+    account_files = -(-client_accounts // per_file)
+    for change in range(changes):
+        index = change % account_files
+        content = account_file(index, client_accounts, per_file, 2.0 + change)
+        files = {**files, f"20-accounts-{index:05}.json": content}
+        start = time.process_time()
+        verdict = keeper.offer(2 + change, files, 0.0)
+        spent += time.process_time() - start
+        if not isinstance(verdict, Accepted):
+            raise ValueError(f"the measured change is refused: {verdict}")
+    return ConfigCost(
+        client_accounts,
+        upstreams,
+        len(files),
+        sum(map(len, files.values())),
+        first_s,
+        spent / changes,
+        resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024,
+    )
+
+
+def slope(per_file: int = 50) -> list[ConfigCost]:
+    """Measure at a tenth, a third and the whole of the size expected in two years."""
+    sizes = [(950, 1_000), (3_167, 3_333), (9_500, 10_000)]
+    return [measure_change(a, u, per_file) for a, u in sizes]
+
+
+if __name__ == "__main__":
+    for cost in [*slope(), *slope(per_file=1)]:
+        print(msgspec.json.encode(cost).decode())
