--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/requests/pace.py
@@ -0,0 +1,59 @@
+"""Judge the silence of a stream by the stream's own pace."""
+
+from dandelionpond.requests.settings import RequestsSettings
+
+
+class Pace:
+    """Bound the silence of one attempt; times in seconds.
+
+    Before the first token the bound follows the estimated time to first token. After
+    that it is `silence_factor` times a moving mean of the time between pieces, so slow
+    long streams are not cut and fast ones are not waited for. It is never under
+    `silence_min_s`.
+    """
+
+    __slots__ = ("_first", "_heard", "_mean", "_paused", "_settings")
+
+    def __init__(
+        self, settings: RequestsSettings, estimate_s: float, now: float
+    ) -> None:
+        self._settings = settings
+        self._mean = estimate_s
+        self._heard = now
+        self._first = True
+        self._paused = False
+
+    @property
+    def bound_s(self) -> float:
+        """Return the silence that is still normal."""
+        return max(
+            self._settings.silence_min_s, self._settings.silence_factor * self._mean
+        )
+
+    def hear(self, now: float) -> None:
+        """Take the arrival of a piece."""
+        gap = max(0.0, now - self._heard)
+        self._heard = now
+        if self._first:
+            # The first gap is prefill. It bounds the second one until a pace is known.
+            self._first = False
+            return
+        weight = self._settings.pace_weight
+        self._mean += weight * (gap - self._mean)
+
+    def pause(self) -> None:
+        """Stop judging while the node itself does not read."""
+        self._paused = True
+
+    def resume(self, now: float) -> None:
+        """Judge again from now on."""
+        self._paused = False
+        self._heard = now
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether the attempt has been silent for longer than the bound."""
+        return not self._paused and now - self._heard > self.bound_s
+
+    def due(self) -> float:
+        """Return when `is_silent` can become true."""
+        return self._heard + self.bound_s
--- a/packages/dandelionpond/src/dandelionpond/requests/settings.py
+++ b/packages/dandelionpond/src/dandelionpond/requests/settings.py
@@ -21,3 +21,8 @@
     ticket_ttl_s: float = 600.0
     max_tickets: int = 100_000
     max_outcome_bytes: int = 64 * 1024
+    max_outcomes_total_bytes: int = 256 * 1024 * 1024
+    max_answer_bytes: int = 8 * 1024 * 1024
+    max_retry_budgets: int = 1_024
+    undelivered_pieces: int = 256
+    pace_weight: float = 0.2
