--- /dev/null
+++ b/packages/standins/src/dandelionpond_standins/engine_cache.py
@@ -0,0 +1,92 @@
+"""Keep the prefix cache of the engine model: pinned and evictable blocks, and events."""
+
+import random
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+
+from dandelionpond_standins.engine_types import CacheEvent
+
+# Enough for several seconds of changes at full load; a reader that is further behind
+# sees a gap in the sequence and has to treat its view as unknown.
+MAX_EVENTS = 4_096
+
+
+class PrefixCache:
+    """Hold blocks by hash; a block with no user is evicted in least-recent order."""
+
+    __slots__ = ("_events", "_gap_ratio", "_idle", "_pinned", "_random", "_seq")
+
+    def __init__(self, gap_ratio: float, random_source: random.Random) -> None:
+        self._pinned: dict[int, int] = {}
+        self._idle: OrderedDict[int, None] = OrderedDict()
+        self._events: deque[CacheEvent] = deque(maxlen=MAX_EVENTS)
+        self._seq = 0
+        self._gap_ratio = gap_ratio
+        self._random = random_source
+
+    @property
+    def pinned_blocks(self) -> int:
+        """Return the number of blocks in use."""
+        return len(self._pinned)
+
+    @property
+    def idle_blocks(self) -> int:
+        """Return the number of blocks that may be evicted."""
+        return len(self._idle)
+
+    def match(self, hashes: tuple[int, ...]) -> int:
+        """Return how many leading blocks of a prompt are cached."""
+        for index, block in enumerate(hashes):
+            if block not in self._pinned and block not in self._idle:
+                return index
+        return len(hashes)
+
+    def idle_among(self, hashes: Iterable[int]) -> int:
+        """Return how many of the blocks are cached but not in use."""
+        return sum(block in self._idle for block in hashes)
+
+    def pin(self, hashes: Iterable[int], now: float) -> None:
+        """Store the missing blocks and count one more user for each block."""
+        stored = []
+        for block in hashes:
+            if block in self._pinned:
+                self._pinned[block] += 1
+                continue
+            if block in self._idle:
+                del self._idle[block]
+            else:
+                stored.append(block)
+            self._pinned[block] = 1
+        if stored:
+            self._publish("stored", tuple(stored), now)
+
+    def unpin(self, hashes: tuple[int, ...]) -> None:
+        """Count one user less; the last blocks of a prompt become evictable first."""
+        for block in reversed(hashes):
+            users = self._pinned[block] - 1
+            if users:
+                self._pinned[block] = users
+            else:
+                del self._pinned[block]
+                self._idle[block] = None
+
+    def evict(self, count: int, now: float) -> None:
+        """Remove up to `count` evictable blocks, the least recently used first."""
+        removed = []
+        while count > len(removed) and self._idle:
+            removed.append(self._idle.popitem(last=False)[0])
+        if removed:
+            self._publish("removed", tuple(removed), now)
+
+    def events(self, from_seq: int, until: float) -> list[CacheEvent]:
+        """Return the visible events with `seq >= from_seq` up to a time."""
+        return [
+            event
+            for event in self._events
+            if event.seq >= from_seq and event.at <= until
+        ]
+
+    def _publish(self, action: str, hashes: tuple[int, ...], now: float) -> None:
+        self._seq += 1
+        if self._random.random() >= self._gap_ratio:
+            self._events.append(CacheEvent(self._seq, action, hashes, now))
--- /dev/null
+++ b/packages/standins/src/dandelionpond_standins/engine_types.py
@@ -0,0 +1,140 @@
+"""Define the input, output and constants of the engine model.
+
+Token counts are in tokens, times in seconds of the model's clock.
+"""
+
+import msgspec
+
+
+class EngineSpec(msgspec.Struct, frozen=True):
+    """Describe one engine.
+
+    A step takes `step_base_s + step_sequence_s * decodes + prefill / rate`. All values
+    are assumptions of the model, not measurements of a product: 20,000 prefill tokens/s
+    and 400,000 tokens of memory are the defaults of the published settings; 8 ms and
+    0.1 ms give 2,000 to 5,000 tokens/s at 16 to 64 sequences; 2,048 tokens per step is
+    a common chunk size in chunked prefill. Blocks of 256 tokens are larger than usual
+    ones, so that a prompt of 1,000,000 tokens has about 4,000 blocks.
+    `event_gap_ratio` is the share of cache events from 0 to 1 that are never seen.
+    """
+
+    kv_capacity_tokens: int = 400_000
+    prefill_tokens_per_s: float = 20_000.0
+    step_base_s: float = 0.008
+    step_sequence_s: float = 0.000_1
+    chunk_tokens: int = 2_048
+    block_tokens: int = 256
+    max_running: int = 256
+    max_waiting: int = 10_000
+    report_lag_s: float = 0.5
+    event_lag_s: float = 0.5
+    event_gap_ratio: float = 0.0
+    self_expire: bool = False
+
+
+class ModelRequest(msgspec.Struct, frozen=True):
+    """Ask for generation of `max_tokens - from_offset` tokens.
+
+    `prefix_hashes` has one hash for each full block of the prompt. `local_tokens` is
+    this engine's part of a prompt that several engines hold; zero means all of it.
+    `reservation` names a reservation whose memory the request takes over. With
+    `retain_s` above zero the memory stays held that long after the last token.
+    """
+
+    request_id: str
+    owner: str
+    model: str
+    prompt_tokens: int
+    prefix_hashes: tuple[int, ...] = ()
+    max_tokens: int = 16
+    priority: int = 0
+    expires_in_s: float = 30.0
+    from_offset: int = 0
+    local_tokens: int = 0
+    reservation: str = ""
+    retain_s: float = 0.0
+
+
+class Submitted(msgspec.Struct, frozen=True):
+    """Confirm a request; `cached_tokens` is the part of the prompt already cached."""
+
+    request_id: str
+    cached_tokens: int
+
+
+class SubmitRefused(msgspec.Struct, frozen=True):
+    """Refuse a request without running it.
+
+    `reason` is `failing`, `too_large`, `queue_full` or `duplicate`.
+    """
+
+    request_id: str
+    reason: str
+
+
+class TokensGenerated(msgspec.Struct, frozen=True):
+    """Report `count` tokens starting at `offset`; `at` is the time of the last one."""
+
+    request_id: str
+    offset: int
+    count: int
+    at: float
+
+
+class RequestFinished(msgspec.Struct, frozen=True):
+    """Report the end of a request; its memory is free unless it is retained."""
+
+    request_id: str
+    at: float
+
+
+class RequestEvicted(msgspec.Struct, frozen=True):
+    """Report that the engine dropped a request whose expiry had passed."""
+
+    request_id: str
+    at: float
+
+
+ModelEvent = TokensGenerated | RequestFinished | RequestEvicted
+
+
+class Holding(msgspec.Struct, frozen=True):
+    """List memory held for an owner.
+
+    `kind` is `stream`, `retained`, `reservation`, `export` or `import`.
+    `expires_in_s` counts on the engine's clock and is negative after expiry.
+    """
+
+    holding_id: str
+    kind: str
+    owner: str
+    tokens: int
+    expires_in_s: float
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """Report load as it was at `at`; `kv_tokens_used` leaves out evictable cache."""
+
+    at: float
+    queued_prefill_tokens: int
+    running_requests: int
+    waiting_requests: int
+    kv_tokens_used: int
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """Report blocks that were stored in or removed from the prefix cache."""
+
+    seq: int
+    action: str
+    hashes: tuple[int, ...]
+    at: float
+
+
+class ExportedBlock(msgspec.Struct, frozen=True):
+    """Carry the identity of exported KV blocks to another engine."""
+
+    export_id: str
+    model: str
+    tokens: int
+    prefix_hashes: tuple[int, ...]
--- /dev/null
+++ b/packages/standins/tests/test_engine_model.py
@@ -0,0 +1,181 @@
+"""Test the engine model."""
+
+import random
+
+from dandelionpond_standins.engine_model import (
+    EngineModel,
+    EngineSpec,
+    ExportedBlock,
+    ModelRequest,
+    RequestEvicted,
+    RequestFinished,
+    SubmitRefused,
+    Submitted,
+    TokensGenerated,
+    ideal_ttft,
+)
+
+
+def ask(name, prompt=1_000, **fields):
+    return ModelRequest(name, "node/1", "m", prompt, **fields)
+
+
+def first_token(events, name):
+    return next(
+        e.at for e in events if isinstance(e, TokensGenerated) and e.request_id == name
+    )
+
+
+class TestBatching:
+    def test_one_request_meets_the_ideal(self):
+        """Guard against a queueing delay on an idle engine."""
+        spec = EngineSpec()
+        engine = EngineModel(spec, 1)
+        engine.submit(ask("a", 10_000, max_tokens=5), 3.0)
+        events = engine.advance(10.0)
+        ideal = ideal_ttft(spec, 10_000, 0)
+        assert abs(first_token(events, "a") - 3.0 - ideal) < 1e-9
+        assert sum(e.count for e in events if isinstance(e, TokensGenerated)) == 5
+        assert isinstance(events[-1], RequestFinished)
+
+    def test_skipping_equal_steps_changes_nothing(self):
+        """Guard against a fast path that gives other times than single steps."""
+        ends = []
+        for tick in (0.003, 60.0):
+            rng = random.Random(5)
+            engine = EngineModel(EngineSpec(), 1)
+            found, now, arrival = {}, 0.0, 0.0
+            for index in range(40):
+                arrival += rng.expovariate(2.0)
+                while now < arrival:
+                    now = min(arrival, now + tick)
+                    for e in engine.advance(now):
+                        if isinstance(e, RequestFinished):
+                            found[e.request_id] = round(e.at, 6)
+                prompt = rng.choice([500, 4_000, 30_000])
+                engine.submit(ask(str(index), prompt, max_tokens=50), now)
+            for e in engine.advance(600.0):
+                if isinstance(e, RequestFinished):
+                    found[e.request_id] = round(e.at, 6)
+            ends.append(found)
+        assert len(ends[0]) == 40
+        assert ends[0] == ends[1]
+
+    def test_next_event_is_never_late(self):
+        """Guard against a driver that learns of an event after it happened."""
+        engine = EngineModel(EngineSpec(), 1)
+        engine.progress = False
+        engine.submit(ask("a", 50_000, max_tokens=300), 0.0)
+        engine.submit(ask("b", 500, max_tokens=100, priority=1), 0.0)
+        calls = 0
+        while (at := engine.next_event_at()) is not None:
+            calls += 1
+            assert all(abs(e.at - at) < 1e-6 for e in engine.advance(at))
+        assert calls < 60
+
+    def test_smaller_priority_number_goes_first(self):
+        """Guard against a long prompt that delays a short one of better priority."""
+        engine = EngineModel(EngineSpec(), 1)
+        engine.submit(ask("long", 200_000, priority=5), 0.0)
+        engine.submit(ask("short", 500, priority=0), 1.0)
+        events = engine.advance(60.0)
+        assert first_token(events, "short") < 1.3
+        assert first_token(events, "long") > 9.0
+
+    def test_resume_continues_at_the_offset(self):
+        """Guard against repeated or missing tokens after a resume."""
+        engine = EngineModel(EngineSpec(), 1)
+        engine.submit(ask("a", max_tokens=20, from_offset=15), 0.0)
+        events = [e for e in engine.advance(9.0) if isinstance(e, TokensGenerated)]
+        assert events[0].offset == 15
+        assert sum(e.count for e in events) == 5
+
+
+class TestMemory:
+    def test_requests_wait_for_memory_and_all_of_it_returns(self):
+        """Guard against overcommitted or leaked memory."""
+        spec = EngineSpec(kv_capacity_tokens=20_000, max_running=8)
+        engine = EngineModel(spec, 1)
+        for index in range(20):
+            hashes = tuple(hash((index % 3, b)) for b in range(6_000 // 256))
+            engine.submit(ask(str(index), 6_000, prefix_hashes=hashes), 0.0)
+        now = 0.0
+        while (at := engine.next_event_at()) is not None:
+            now = at
+            engine.advance(now)
+            assert engine.kv_tokens_used <= spec.kv_capacity_tokens
+        assert engine.kv_tokens_used == 0
+        assert engine.holdings(now) == []
+
+    def test_cached_prefix_shortens_prefill_and_is_evicted(self):
+        """Guard against a cache that never helps or never yields."""
+        engine = EngineModel(EngineSpec(kv_capacity_tokens=9_000), 1)
+        hashes = tuple(range(16))
+        engine.submit(ask("a", 4_096 + 10, prefix_hashes=hashes), 0.0)
+        engine.advance(5.0)
+        again = engine.submit(ask("b", 4_096 + 10, prefix_hashes=hashes), 5.0)
+        assert again == Submitted("b", 4_096)
+        assert first_token(engine.advance(9.0), "b") < 5.02
+        engine.submit(ask("c", 8_900), 9.0)
+        engine.advance(20.0)
+        assert [e.action for e in engine.cache_events(0, 21.0)] == ["stored", "removed"]
+        assert engine.submit(ask("d", 4_106, prefix_hashes=hashes), 21.0) != Submitted(
+            "d", 4_096
+        )
+
+    def test_abandoned_stream_stays_listed_until_cancelled(self):
+        """Guard against memory that disappears from the list before its release."""
+        engine = EngineModel(EngineSpec(), 1)
+        engine.submit(ask("a", expires_in_s=5.0), 0.0)
+        engine.abandon("a", 0.01)
+        (held,) = engine.holdings(100.0)
+        assert (held.owner, held.expires_in_s) == ("node/1", -95.0)
+        assert engine.cancel("a", 100.0)
+        assert not engine.cancel("a", 100.0)
+        assert engine.kv_tokens_used == 0
+
+    def test_self_expiring_engine_evicts(self):
+        """Guard against an engine that promises expiry and does not act on it."""
+        engine = EngineModel(EngineSpec(self_expire=True), 1)
+        engine.submit(ask("a", 300_000, expires_in_s=5.0), 0.0)
+        assert isinstance(engine.advance(6.0)[-1], RequestEvicted)
+        assert engine.kv_tokens_used == 0
+
+    def test_reservation_export_and_import(self):
+        """Guard against a reservation, export or import that is not accounted."""
+        engine = EngineModel(EngineSpec(kv_capacity_tokens=10_000), 1)
+        assert engine.reserve("r", "n/1", 9_000, 10.0, 0.0)
+        assert engine.reserve("r", "n/1", 9_000, 10.0, 0.0)
+        assert not engine.reserve("s", "n/1", 2_000, 10.0, 0.0)
+        refused = engine.submit(ask("x", 20_000), 0.0)
+        assert refused == SubmitRefused("x", "too_large")
+        engine.submit(ask("a", 4_106, reservation="r"), 0.0)
+        engine.advance(5.0)
+        block = ExportedBlock("e", "m", 4_096, tuple(range(16)))
+        assert engine.import_("i", "n/1", block, 10.0, 5.0)
+        assert engine.kv_tokens_used == 4_096
+        assert engine.export("e", "n/1", "m", tuple(range(16)), 9.0, 5.0) == block
+        assert engine.release("i", 6.0) and engine.release("e", 6.0)
+        assert engine.kv_tokens_used == 0
+
+
+class TestReports:
+    def test_load_lags(self):
+        """Guard against a report that is fresher than a real engine's."""
+        engine = EngineModel(EngineSpec(report_lag_s=1.0), 1)
+        for tick in range(20):
+            engine.advance(tick / 10)
+        engine.submit(ask("a", 100_000), 2.0)
+        assert engine.load(2.5).running_requests == 0
+        assert engine.load(3.6).running_requests == 1
+
+    def test_events_are_late_and_have_gaps(self):
+        """Guard against a reader that is never tested with a missing event."""
+        engine = EngineModel(EngineSpec(event_lag_s=2.0, event_gap_ratio=0.3), 1)
+        for index in range(50):
+            engine.submit(ask(str(index), 300, prefix_hashes=(index,)), 0.0)
+        engine.advance(10.0)
+        assert engine.cache_events(0, 2.0) == []
+        numbers = [e.seq for e in engine.cache_events(0, 12.0)]
+        assert numbers == sorted(numbers)
+        assert 20 < len(numbers) < 50
