--- a/packages/standins/src/dandelionpond_standins/engine_cache.py
+++ b/packages/standins/src/dandelionpond_standins/engine_cache.py
@@ -1,4 +1,4 @@
-"""Keep the prefix cache of the engine model: pinned and evictable blocks, and events."""
+"""Keep the prefix cache of the engine model and its events."""
 
 import random
 from collections import OrderedDict, deque
--- a/packages/standins/src/dandelionpond_standins/engine_model.py
+++ b/packages/standins/src/dandelionpond_standins/engine_model.py
@@ -13,7 +13,7 @@
 from bisect import insort
 from collections import deque
 
-from dandelionpond_standins.engine_cache import PrefixCache
+from dandelionpond_standins.engine_memory import EngineMemory, Held, Run
 from dandelionpond_standins.engine_types import (
     CacheEvent,
     EngineSpec,
@@ -27,6 +27,7 @@
     SubmitRefused,
     Submitted,
     TokensGenerated,
+    ideal_ttft,
 )
 
 __all__ = [
@@ -47,63 +48,18 @@
 ]
 
 
-def ideal_ttft(spec: EngineSpec, prompt_tokens: int, cached_tokens: int) -> float:
-    """Return the time to first token in seconds on an engine with no other work."""
-    left = max(1, prompt_tokens - cached_tokens)
-    steps = -(-left // spec.chunk_tokens)
-    return left / spec.prefill_tokens_per_s + steps * spec.step_base_s
-
-
-class _Held:
-    """Track memory held under one identifier."""
-
-    __slots__ = ("blocks", "expires", "kind", "model", "owner", "private")
-
-    def __init__(
-        self, kind: str, owner: str, private: int, expires: float, model: str = ""
-    ) -> None:
-        self.kind = kind
-        self.owner = owner
-        self.private = private
-        self.expires = expires
-        self.model = model
-        self.blocks: tuple[int, ...] = ()
-
-
-class _Run:
-    """Track the progress of one request."""
-
-    __slots__ = ("done", "first_step", "held", "left", "order", "reported", "request")
-
-    def __init__(self, request: ModelRequest, order: tuple[int, int]) -> None:
-        self.request = request
-        self.order = order
-        self.left = (
-            request.local_tokens or request.prompt_tokens
-        ) + request.from_offset
-        self.first_step = 0
-        self.reported = 0
-        self.done = False
-        self.held: _Held | None = None
-
-    def __lt__(self, other: "_Run") -> bool:
-        return self.order < other.order
-
-
 class EngineModel:
     """Simulate one engine; the same seed and calls give the same events."""
 
     __slots__ = (
         "_at",
         "_by_id",
-        "_cache",
         "_count",
         "_decoding",
         "_ends",
-        "_held",
+        "_memory",
         "_pending",
         "_prefilling",
-        "_private",
         "_queued",
         "_samples",
         "_step",
@@ -122,27 +78,25 @@
         self.fail_fast = False
         # Without progress only the first token and the end of a request are reported.
         self.progress = True
-        self._cache = PrefixCache(spec.event_gap_ratio, random.Random(seed))
+        self._memory = EngineMemory(spec, random.Random(seed))
         self._at = 0.0
         self._count = 0
         self._steps = 0
-        self._private = 0
         self._queued = 0
         self._waiting_count = 0
-        self._by_id: dict[str, _Run] = {}
-        self._held: dict[str, _Held] = {}
-        self._waiting: list[_Run] = []
-        self._prefilling: list[_Run] = []
-        self._decoding: dict[str, _Run] = {}
-        self._ends: list[tuple[int, _Run]] = []
-        self._step: tuple[float, list[tuple[_Run, int]]] | None = None
+        self._by_id: dict[str, Run] = {}
+        self._waiting: list[Run] = []
+        self._prefilling: list[Run] = []
+        self._decoding: dict[str, Run] = {}
+        self._ends: list[tuple[int, Run]] = []
+        self._step: tuple[float, list[tuple[Run, int]]] | None = None
         self._pending: list[ModelEvent] = []
         self._samples: deque[LoadReport] = deque(maxlen=64)
 
     @property
     def kv_tokens_used(self) -> int:
         """Return the tokens of memory in use, without evictable cache."""
-        return self._private + self._cache.pinned_blocks * self.spec.block_tokens
+        return self._memory.used
 
     def submit(self, request: ModelRequest, now: float) -> Submitted | SubmitRefused:
         """Queue a request or refuse it without side effects."""
@@ -150,7 +104,7 @@
         name = request.request_id
         if self.fail_fast:
             return SubmitRefused(name, "failing")
-        if name in self._by_id or name in self._held:
+        if name in self._by_id or name in self._memory.held:
             return SubmitRefused(name, "duplicate")
         if self._size(request) > self.spec.kv_capacity_tokens:
             return SubmitRefused(name, "too_large")
@@ -159,24 +113,26 @@
         if request.reservation:
             self.release(request.reservation, now)
         self._count += 1
-        run = _Run(request, (request.priority, self._count))
-        run.held = _Held(
+        run = Run(request, (request.priority, self._count))
+        run.held = Held(
             "stream", request.owner, 0, now + request.expires_in_s, request.model
         )
         self._by_id[name] = run
-        self._held[name] = run.held
+        self._memory.held[name] = run.held
         self._queued += run.left
         self._waiting_count += 1
         heapq.heappush(self._waiting, run)
         self._admit()
-        cached = self._cache.match(request.prefix_hashes) * self.spec.block_tokens
+        cached = (
+            self._memory.cache.match(request.prefix_hashes) * self.spec.block_tokens
+        )
         return Submitted(name, min(cached, request.prompt_tokens))
 
     def cancel(self, request_id: str, now: float) -> bool:
         """Free everything held under an identifier; say whether there was anything."""
         self._run(now)
         found = self._stop(request_id)
-        return self._free(request_id) or found
+        return self._memory.free(request_id) or found
 
     def abandon(self, request_id: str, now: float) -> bool:
         """Stop generating but keep the memory, as after a lost connection."""
@@ -219,16 +175,7 @@
     def holdings(self, now: float) -> list[Holding]:
         """List everything held, with the remaining time on this engine's clock."""
         self._run(now)
-        return [
-            Holding(
-                name,
-                held.kind,
-                held.owner,
-                held.private + len(held.blocks) * self.spec.block_tokens,
-                held.expires - now,
-            )
-            for name, held in self._held.items()
-        ]
+        return self._memory.listing(now)
 
     def load(self, now: float) -> LoadReport:
         """Return the newest load report that is at least `report_lag_s` old."""
@@ -245,21 +192,14 @@
     def cache_events(self, from_seq: int, now: float) -> list[CacheEvent]:
         """Return cache events from a sequence number on, late and with gaps."""
         self._run(now)
-        return self._cache.events(from_seq, now - self.spec.event_lag_s)
+        return self._memory.cache.events(from_seq, now - self.spec.event_lag_s)
 
     def reserve(
         self, reservation_id: str, owner: str, tokens: int, ttl_s: float, now: float
     ) -> bool:
         """Reserve memory; a repeat by the same owner only renews."""
         self._run(now)
-        held = self._held.get(reservation_id)
-        if held is not None:
-            return held.owner == owner and self.renew(reservation_id, ttl_s, now)
-        if not self._make_room(tokens):
-            return False
-        self._held[reservation_id] = _Held("reservation", owner, tokens, now + ttl_s)
-        self._private += tokens
-        return True
+        return self._memory.reserve(reservation_id, owner, tokens, ttl_s, now)
 
     def release(self, holding_id: str, now: float) -> bool:
         """Free a holding; false if nothing is held under the identifier."""
@@ -268,7 +208,7 @@
     def renew(self, holding_id: str, ttl_s: float, now: float) -> bool:
         """Move the expiry of a holding to `ttl_s` from now; false if unknown."""
         self._run(now)
-        held = self._held.get(holding_id)
+        held = self._memory.held.get(holding_id)
         if held is None:
             return False
         held.expires = now + ttl_s
@@ -285,53 +225,18 @@
     ) -> ExportedBlock | None:
         """Pin the cached leading blocks for a transfer; None if none is cached."""
         self._run(now)
-        blocks = prefix_hashes[: self._cache.match(prefix_hashes)]
-        if not blocks or export_id in self._held:
-            return None
-        held = _Held("export", owner, 0, now + ttl_s, model)
-        self._held[export_id] = held
-        self._pin(held, blocks)
-        return ExportedBlock(
-            export_id, model, len(blocks) * self.spec.block_tokens, blocks
-        )
+        return self._memory.export(export_id, owner, model, prefix_hashes, ttl_s, now)
 
     def import_(
         self, import_id: str, owner: str, block: ExportedBlock, ttl_s: float, now: float
     ) -> bool:
         """Store exported blocks, pinned until released; false without memory."""
         self._run(now)
-        if import_id in self._held:
-            return self._held[import_id].owner == owner
-        known = self._cache.match(block.prefix_hashes)
-        held = _Held("import", owner, 0, now + ttl_s, block.model)
-        self._held[import_id] = held
-        self._pin(held, block.prefix_hashes[:known])
-        missing = len(block.prefix_hashes) - known
-        if not self._make_room(missing * self.spec.block_tokens):
-            self._free(import_id)
-            return False
-        self._cache.unpin(held.blocks)
-        self._pin(held, block.prefix_hashes)
-        return True
+        return self._memory.import_(import_id, owner, block, ttl_s, now)
 
     def _size(self, request: ModelRequest) -> int:
         return (request.local_tokens or request.prompt_tokens) + request.max_tokens
 
-    def _pin(self, held: _Held, blocks: tuple[int, ...]) -> None:
-        self._cache.pin(blocks, self._at)
-        held.blocks = blocks
-
-    def _make_room(self, tokens: int) -> bool:
-        """Evict cache until `tokens` are free; change nothing if that cannot be."""
-        size = self.spec.block_tokens
-        spare = self.spec.kv_capacity_tokens - self.kv_tokens_used
-        if tokens > spare:
-            return False
-        over = tokens + self._cache.idle_blocks * size - spare
-        if over > 0:
-            self._cache.evict(-(-over // size), self._at)
-        return True
-
     def _admit(self) -> None:
         while self._waiting:
             run = self._waiting[0]
@@ -344,32 +249,25 @@
                 return
             heapq.heappop(self._waiting)
 
-    def _start(self, run: _Run) -> bool:
+    def _start(self, run: Run) -> bool:
         held, request = run.held, run.request
         assert held is not None
         size = self.spec.block_tokens
         # The last token of a prompt is always computed, because it gives the first
         # token of the answer.
         usable = (run.left - 1) // size
-        blocks = request.prefix_hashes[
-            : min(usable, self._cache.match(request.prefix_hashes))
-        ]
-        cached = len(blocks) * size
-        self._pin(held, blocks)
-        need = self._size(request) - cached
-        if not self._make_room(need):
-            self._cache.unpin(blocks)
-            held.blocks = ()
+        cached = self._memory.take(
+            held, request.prefix_hashes[:usable], self._size(request), self._at
+        )
+        if cached < 0:
             return False
-        held.private = need
-        self._private += need
         run.left -= cached
         self._queued -= cached
         self._waiting_count -= 1
         insort(self._prefilling, run)
         return True
 
-    def _plan(self) -> tuple[list[tuple[_Run, int]], float]:
+    def _plan(self) -> tuple[list[tuple[Run, int]], float]:
         """Return the prefill portions of the next step and its duration."""
         spec = self.spec
         decodes = len(self._decoding)
@@ -417,7 +315,7 @@
             self._expire(until)
 
     def _skip(
-        self, portions: list[tuple[_Run, int]], duration: float, until: float
+        self, portions: list[tuple[Run, int]], duration: float, until: float
     ) -> bool:
         """Run many equal steps at once, up to the one in which something changes."""
         steps = min(int((until - self._at) / duration), self._ends_in() - 1)
@@ -453,17 +351,10 @@
             self._report(run, self._at)
             self._finish(run)
 
-    def _begin_decode(self, run: _Run) -> None:
+    def _begin_decode(self, run: Run) -> None:
         held, request = run.held, run.request
         assert held is not None
-        fresh = request.prefix_hashes[len(held.blocks) :]
-        limit = max(0, held.private // self.spec.block_tokens)
-        fresh = fresh[:limit]
-        self._cache.pin(fresh, self._at)
-        held.blocks += fresh
-        moved = len(fresh) * self.spec.block_tokens
-        held.private -= moved
-        self._private -= moved
+        self._memory.share(held, request.prefix_hashes, self._at)
         tokens = request.max_tokens - request.from_offset
         if tokens <= 0:
             self._decoding[request.request_id] = run
@@ -474,7 +365,7 @@
         heapq.heappush(self._ends, (self._steps + tokens - 1, run))
         self._report(run, self._at)
 
-    def _report(self, run: _Run, at: float) -> None:
+    def _report(self, run: Run, at: float) -> None:
         count = self._steps - run.first_step + 1 - run.reported
         if count > 0:
             request = run.request
@@ -482,7 +373,7 @@
             run.reported += count
             self._pending.append(TokensGenerated(request.request_id, offset, count, at))
 
-    def _finish(self, run: _Run) -> None:
+    def _finish(self, run: Run) -> None:
         name = run.request.request_id
         held = run.held
         assert held is not None
@@ -491,7 +382,7 @@
             held.kind = "retained"
             held.expires = self._at + run.request.retain_s
         else:
-            self._free(name)
+            self._memory.free(name)
         self._pending.append(RequestFinished(name, self._at))
 
     def _stop(self, request_id: str) -> bool:
@@ -507,19 +398,11 @@
                 self._waiting_count -= 1
         return True
 
-    def _free(self, holding_id: str) -> bool:
-        held = self._held.pop(holding_id, None)
-        if held is None:
-            return False
-        self._private -= held.private
-        self._cache.unpin(held.blocks)
-        return True
-
     def _expire(self, now: float) -> None:
-        for name in [n for n, held in self._held.items() if held.expires <= now]:
+        for name in [n for n, held in self._memory.held.items() if held.expires <= now]:
             if self._stop(name):
                 self._pending.append(RequestEvicted(name, now))
-            self._free(name)
+            self._memory.free(name)
 
     def _sample(self, at: float) -> LoadReport:
         return LoadReport(
--- a/packages/standins/src/dandelionpond_standins/engine_types.py
+++ b/packages/standins/src/dandelionpond_standins/engine_types.py
@@ -138,3 +138,10 @@
     model: str
     tokens: int
     prefix_hashes: tuple[int, ...]
+
+
+def ideal_ttft(spec: EngineSpec, prompt_tokens: int, cached_tokens: int) -> float:
+    """Return the time to first token in seconds on an engine with no other work."""
+    left = max(1, prompt_tokens - cached_tokens)
+    steps = -(-left // spec.chunk_tokens)
+    return left / spec.prefill_tokens_per_s + steps * spec.step_base_s
