--- /dev/null
+++ b/packages/standins/src/dandelionpond_standins/client.py
@@ -0,0 +1,211 @@
+"""Send requests as a caller does and check each answer."""
+
+import time
+from enum import StrEnum
+
+import aiohttp
+import msgspec
+
+from dandelionpond_standins.engine_text import expected_text
+
+DONE = b"[DONE]"
+
+
+class Verdict(StrEnum):
+    """Say what became of one prompt."""
+
+    COMPLETE = "complete"
+    REFUSED = "refused"
+    FAILED = "failed"
+    TRUNCATED = "truncated"
+    WRONG = "wrong"
+
+
+class PromptResult(msgspec.Struct):
+    """Hold the outcome of one prompt; times are in seconds."""
+
+    verdict: Verdict
+    prompt_tokens: int
+    status: int = 0
+    error: str = ""
+    execution: str = ""
+    ttft_s: float = 0.0
+    total_s: float = 0.0
+    longest_gap_s: float = 0.0
+    text: str = ""
+    request_id: str = ""
+
+
+class CallResult(msgspec.Struct):
+    """Hold the outcome of one plain call; `status` 0 means no answer."""
+
+    status: int
+    body: bytes = b""
+    error: str = ""
+    execution: str = ""
+    repeated: bool = False
+
+
+class _Choice(msgspec.Struct):
+    text: str = ""
+
+
+class _Error(msgspec.Struct):
+    code: str
+    execution: str
+
+
+class _Event(msgspec.Struct):
+    choices: tuple[_Choice, ...] = ()
+    error: _Error | None = None
+
+
+class _ErrorBody(msgspec.Struct):
+    error: _Error
+
+
+class Prompt(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe one prompt to send; `timeout_s` is the deadline asked for."""
+
+    model: str
+    version: str
+    text: str
+    max_tokens: int = 32
+    timeout_s: float = 60.0
+
+    @property
+    def tokens(self) -> int:
+        """Return the estimated length in tokens."""
+        return max(1, -(-len(self.text) // 4))
+
+
+def make_text(tokens: int, seed: str, shared: str = "") -> str:
+    """Return a prompt of about `tokens` tokens; equal `shared` gives equal starts."""
+    word = f"{seed}:"
+    need = max(0, tokens * 4 - len(shared))
+    repeated = word * (need // len(word) + 1)
+    return shared[: tokens * 4] + repeated[:need]
+
+
+async def send_prompt(
+    session: aiohttp.ClientSession, url: str, key: str, prompt: Prompt
+) -> PromptResult:
+    """Send a prompt, stream its answer and compare it with the expected text."""
+    result = PromptResult(Verdict.FAILED, prompt.tokens)
+    headers = {
+        "Authorization": f"Bearer {key}",
+        "X-Request-Timeout-Ms": str(int(prompt.timeout_s * 1000)),
+    }
+    body = {
+        "model": prompt.model,
+        "prompt": prompt.text,
+        "max_tokens": prompt.max_tokens,
+        "stream": True,
+    }
+    start = time.monotonic()
+    try:
+        async with session.post(
+            f"{url}/v1/completions", json=body, headers=headers
+        ) as response:
+            result.status = response.status
+            result.request_id = response.headers.get("X-Request-Id", "")
+            if response.status != 200:
+                failure = msgspec.json.decode(await response.read(), type=_ErrorBody)
+                result.error = failure.error.code
+                result.execution = failure.error.execution
+                result.verdict = (
+                    Verdict.REFUSED if result.execution == "not_run" else Verdict.FAILED
+                )
+            else:
+                await _read_stream(response, prompt, result, start)
+    except (aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
+        result.error = type(error).__name__
+        result.verdict = Verdict.TRUNCATED if result.text else Verdict.FAILED
+    result.total_s = time.monotonic() - start
+    return result
+
+
+async def _read_stream(
+    response: aiohttp.ClientResponse,
+    prompt: Prompt,
+    result: PromptResult,
+    start: float,
+) -> None:
+    result.verdict = Verdict.TRUNCATED
+    last = start
+    parts: list[str] = []
+    async for line in response.content:
+        if not line.startswith(b"data: "):
+            continue
+        data = line[6:].strip()
+        if data == DONE:
+            result.verdict = Verdict.COMPLETE
+            break
+        event = msgspec.json.decode(data, type=_Event)
+        if event.error is not None:
+            result.error = event.error.code
+            result.execution = event.error.execution
+            result.verdict = Verdict.FAILED
+            break
+        text = event.choices[0].text if event.choices else ""
+        if not text:
+            continue
+        now = time.monotonic()
+        if not parts:
+            result.ttft_s = now - start
+        else:
+            result.longest_gap_s = max(result.longest_gap_s, now - last)
+        last = now
+        parts.append(text)
+    result.text = "".join(parts)
+    if result.verdict is Verdict.COMPLETE:
+        expected = expected_text(
+            prompt.model, prompt.version, prompt.text, prompt.max_tokens
+        )
+        if result.text != expected:
+            result.verdict = (
+                Verdict.TRUNCATED if expected.startswith(result.text) else Verdict.WRONG
+            )
+
+
+async def get_ticket(
+    session: aiohttp.ClientSession, url: str, key: str, service: str
+) -> str:
+    """Return a new ticket for a service; an error answer gives an empty text."""
+    headers = {"Authorization": f"Bearer {key}"}
+    path = f"{url}/v1/services/{service}/tickets"
+    async with session.post(path, headers=headers) as response:
+        if response.status != 201:
+            return ""
+        return str((await response.json())["ticket"])
+
+
+async def send_call(
+    session: aiohttp.ClientSession,
+    url: str,
+    key: str,
+    service: str,
+    body: bytes,
+    idempotency_key: str | None = None,
+    timeout_s: float = 30.0,
+) -> CallResult:
+    """Send a plain call; a lost connection counts as `may_have_run`."""
+    headers = {
+        "Authorization": f"Bearer {key}",
+        "X-Request-Timeout-Ms": str(int(timeout_s * 1000)),
+    }
+    if idempotency_key is not None:
+        headers["Idempotency-Key"] = idempotency_key
+    path = f"{url}/v1/services/{service}/calls"
+    try:
+        async with session.post(path, data=body, headers=headers) as response:
+            data = await response.read()
+            result = CallResult(
+                response.status, data, execution=response.headers.get("X-Execution", "")
+            )
+            result.repeated = response.headers.get("X-Repeated-Outcome") == "true"
+            if response.status >= 400 and b'"error"' in data:
+                result.error = msgspec.json.decode(data, type=_ErrorBody).error.code
+            return result
+    except (aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
+        return CallResult(0, error=type(error).__name__, execution="may_have_run")
