--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/routing/choice.py
@@ -0,0 +1,240 @@
+"""Choose an engine for one request as a pure function of recorded input."""
+
+import random
+from typing import Literal
+
+import msgspec
+
+from dandelionpond.routing.settings import RoutingSettings
+
+MAX_CANDIDATES = 32
+
+# A slow-starting engine keeps a small chance, so that its return is observed at all.
+_MIN_START_SHARE = 0.05
+
+Role = Literal["general", "short", "long"]
+State = Literal["live", "suspect", "ejected", "leaving", "gone"]
+Reason = Literal[
+    "over_candidate_limit",
+    "leaving",
+    "gone",
+    "ejected",
+    "suspect",
+    "stale_report",
+    "reserved",
+    "prompt_too_large",
+    "insufficient_memory",
+    "window_full",
+    "deadline",
+    "not_sampled",
+    "slower",
+    "not_drawn",
+]
+
+
+class RouteRequest(msgspec.Struct, frozen=True):
+    """Describe what is routed: token counts, time left in seconds, and urgency.
+
+    An engine serves a smaller `priority` earlier.
+    """
+
+    request_id: str
+    prompt_tokens: int
+    max_tokens: int
+    remaining_s: float
+    priority: int = 0
+
+    @property
+    def kv_tokens(self) -> int:
+        """Return the engine memory the request takes at its end, in tokens."""
+        return self.prompt_tokens + self.max_tokens
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """Describe one engine as this node sees it at the time of the decision.
+
+    `queue_tokens` is the uncached prefill that is served before the request.
+    `free_tokens` is engine memory left for this request's length class.
+    `cached_tokens` is the part of the prompt in the engine's cache, weighted by the
+    certainty of that knowledge. `correction` scales the estimate by what was observed.
+    `start_share` grows from 0 to 1 during slow start. `window_open` is false when the
+    node's concurrency limit toward the engine is reached.
+    """
+
+    engine: str
+    queue_tokens: float
+    free_tokens: float
+    capacity_tokens: int
+    prefill_tokens_per_s: float
+    cached_tokens: float = 0.0
+    correction: float = 1.0
+    report_age_s: float = 0.0
+    start_share: float = 1.0
+    state: State = "live"
+    role: Role = "general"
+    window_open: bool = True
+
+
+class RefusedCandidate(msgspec.Struct, frozen=True):
+    """Name a candidate that was not chosen and the reason."""
+
+    engine: str
+    reason: Reason
+
+
+class RouteChoice(msgspec.Struct, frozen=True):
+    """Hold the outcome: the engine, or None, and why each other one was refused.
+
+    `ttft_s` is the estimated time to first token in seconds; without an engine it is
+    the best estimate among candidates refused only for a passing reason, or infinity.
+    """
+
+    engine: str | None
+    ttft_s: float
+    refused: tuple[RefusedCandidate, ...]
+
+
+def estimate_ttft(request: RouteRequest, candidate: Candidate) -> float:
+    """Return the estimated time to first token in seconds."""
+    uncached = max(1.0, request.prompt_tokens - candidate.cached_tokens)
+    tokens = candidate.queue_tokens + uncached
+    return tokens / candidate.prefill_tokens_per_s * candidate.correction
+
+
+def length_class(
+    tokens: int, policy: RoutingSettings
+) -> Literal["short", "mid", "long"]:
+    """Return the length class of a prompt."""
+    if tokens <= policy.short_prompt_tokens:
+        return "short"
+    return "long" if tokens > policy.long_prompt_tokens else "mid"
+
+
+def _is_reserved(request: RouteRequest, role: Role, policy: RoutingSettings) -> bool:
+    is_long = length_class(request.prompt_tokens, policy) == "long"
+    return (role == "long" and not is_long) or (role == "short" and is_long)
+
+
+def _hard_reason(request: RouteRequest, candidate: Candidate) -> Reason | None:
+    match candidate.state:
+        case "leaving" | "gone" | "ejected" as state:
+            return state
+    if request.kv_tokens > candidate.capacity_tokens:
+        return "prompt_too_large"
+    if not candidate.window_open:
+        return "window_full"
+    if request.kv_tokens > candidate.free_tokens:
+        return "insufficient_memory"
+    return None
+
+
+def _soft_reason(
+    request: RouteRequest, candidate: Candidate, policy: RoutingSettings
+) -> Reason | None:
+    if candidate.state == "suspect":
+        return "suspect"
+    if candidate.report_age_s > policy.report_stale_s:
+        return "stale_report"
+    if _is_reserved(request, candidate.role, policy):
+        return "reserved"
+    return None
+
+
+def _sample(
+    usable: list[Candidate], policy: RoutingSettings, source: random.Random
+) -> list[Candidate]:
+    """Draw up to `choices` candidates; slow-starting ones are drawn less often."""
+    started = [
+        candidate
+        for candidate in usable
+        if candidate.start_share >= 1.0
+        or source.random() < max(_MIN_START_SHARE, candidate.start_share)
+    ]
+    pool = started or usable
+    return source.sample(pool, min(max(1, policy.choices), len(pool)))
+
+
+def choose(
+    request: RouteRequest,
+    candidates: tuple[Candidate, ...],
+    policy: RoutingSettings,
+    seed: int,
+) -> RouteChoice:
+    """Choose the engine for a request; equal input gives an equal outcome.
+
+    Candidates in doubt (suspect, stale report, reserved for the other lengths) are used
+    only when no other one remains. Among a random sample the engine is drawn from those
+    with a nearly equal estimate, weighted by its inverse: many nodes decide on the same
+    lagging reports and must not all take the one engine that looks best.
+    """
+    source = random.Random(seed)
+    refused: dict[str, Reason] = {}
+    clear: list[Candidate] = []
+    doubtful: list[Candidate] = []
+    blocked_s = float("inf")
+    for candidate in candidates[MAX_CANDIDATES:]:
+        refused[candidate.engine] = "over_candidate_limit"
+    for candidate in candidates[:MAX_CANDIDATES]:
+        reason = _hard_reason(request, candidate)
+        if reason in ("window_full", "insufficient_memory"):
+            blocked_s = min(blocked_s, estimate_ttft(request, candidate))
+        if reason is None and estimate_ttft(request, candidate) > request.remaining_s:
+            reason = "deadline"
+            blocked_s = min(blocked_s, estimate_ttft(request, candidate))
+        if reason is not None:
+            refused[candidate.engine] = reason
+            continue
+        reason = _soft_reason(request, candidate, policy)
+        if reason is not None:
+            refused[candidate.engine] = reason
+            doubtful.append(candidate)
+        else:
+            clear.append(candidate)
+    usable = clear or doubtful
+    if not usable:
+        return RouteChoice(None, blocked_s, _as_tuple(refused))
+    for candidate in usable:
+        refused[candidate.engine] = "not_sampled"
+    sample = _sample(usable, policy, source)
+    costs = [estimate_ttft(request, candidate) for candidate in sample]
+    best = min(costs)
+    limit = best * (1.0 + policy.near_equal_share) + policy.near_equal_s
+    weights: list[float] = []
+    for candidate, cost in zip(sample, costs, strict=True):
+        near = cost <= limit
+        refused[candidate.engine] = "not_drawn" if near else "slower"
+        share = max(_MIN_START_SHARE, candidate.start_share)
+        weights.append(share * (best + 1e-6) / (cost + 1e-6) if near else 0.0)
+    drawn = source.choices(range(len(sample)), weights)[0]
+    del refused[sample[drawn].engine]
+    return RouteChoice(sample[drawn].engine, costs[drawn], _as_tuple(refused))
+
+
+def choose_group(
+    request: RouteRequest,
+    candidates: tuple[Candidate, ...],
+    min_engines: int,
+) -> tuple[str, ...]:
+    """Return the engines for a prompt beyond one engine, or nothing.
+
+    Each engine holds an equal part. The smallest group wins, then the shortest queues;
+    the names are in name order, the order of reservation.
+    """
+    usable = [
+        candidate
+        for candidate in candidates[:MAX_CANDIDATES]
+        if candidate.state in ("live", "suspect")
+    ]
+    for count in range(min_engines, len(usable) + 1):
+        part = request.kv_tokens / count
+        fitting = [candidate for candidate in usable if candidate.free_tokens >= part]
+        if len(fitting) >= count:
+            fitting.sort(
+                key=lambda one: (one.role != "long", one.queue_tokens, one.engine)
+            )
+            return tuple(sorted(one.engine for one in fitting[:count]))
+    return ()
+
+
+def _as_tuple(refused: dict[str, Reason]) -> tuple[RefusedCandidate, ...]:
+    return tuple(RefusedCandidate(engine, reason) for engine, reason in refused.items())
--- a/packages/dandelionpond/src/dandelionpond/routing/settings.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/settings.py
@@ -8,6 +8,11 @@
 
     `short_weight` from 0 to 1 weighs the slowdown of short prompts (1) against time to
     first token over all lengths (0). Token counts are in tokens, times in seconds.
+    `near_equal_share` and `near_equal_s` bound how much worse than the best sampled
+    estimate a candidate may be and still be drawn. `max_prefix_blocks` bounds the
+    prefix map. `long_memory_share` is the largest part of an unreserved engine's memory
+    that long prompts may fill. `role_hold_s` is the time for which demand must ask for
+    another number of reserved engines before it is changed.
     """
 
     short_weight: float = 0.5
@@ -15,7 +20,15 @@
     long_prompt_tokens: int = 100_000
     engines_in_reach: int = 32
     choices: int = 8
+    near_equal_share: float = 0.2
+    near_equal_s: float = 0.02
     max_ejected_share: float = 0.3
     ejection_s: float = 10.0
     slow_start_s: float = 10.0
     report_stale_s: float = 5.0
+    prefix_block_tokens: int = 256
+    max_prefix_blocks: int = 100_000
+    long_memory_share: float = 0.8
+    max_reserved_share: float = 0.5
+    role_hold_s: float = 20.0
+    max_sends: int = 8_000
