Add membership and upstream states as pure state machines

Failure detection by random exchanges, as in SWIM, keeps the cost of a node constant; spreading every heartbeat to every node was ruled out because its size grows with the fleet. The first pass counted as done for an empty list; a test showed it, and replies from known peers are now needed.

--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/membership/messages.py
@@ -0,0 +1,124 @@
+"""Define the messages and actions of the membership slice."""
+
+from enum import StrEnum
+from typing import Literal
+
+import msgspec
+
+from dandelionpond.identity import Identity
+
+
+class PeerState(StrEnum):
+    """List the states of a peer."""
+
+    LIVE = "live"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class UpstreamState(StrEnum):
+    """List the states of an upstream."""
+
+    LIVE = "live"
+    SUSPECT = "suspect"
+    EJECTED = "ejected"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class Rumor(msgspec.Struct, frozen=True, tag="rumor"):
+    """Carry one observation about a node or an upstream.
+
+    For a node, `heartbeat` is its counter. For an upstream, it is the version of its
+    registration and `failure_domain` is the domain of the reporter `origin`.
+    """
+
+    subject: str
+    subject_kind: Literal["node", "upstream"]
+    state: str
+    started_ms: int = 0
+    nonce: int = 0
+    heartbeat: int = 0
+    peer_address: str = ""
+    failure_domain: str = ""
+    origin: str = ""
+
+
+class Exchange(msgspec.Struct, frozen=True, tag="exchange"):
+    """Carry the sender's own state and rumors, as a request or as a reply."""
+
+    sender: Identity
+    peer_address: str
+    failure_domain: str
+    state: Literal["serving", "leaving"]
+    heartbeat: int
+    settings_revision: int = 0
+    settings_digest: str = ""
+    rumors: tuple[Rumor, ...] = ()
+
+
+class Vm(msgspec.Struct, frozen=True):
+    """Describe one entry of the platform's list."""
+
+    name: str
+    role: str
+    address: str
+    failure_domain: str
+    state: str
+
+
+class PlatformList(msgspec.Struct, frozen=True, tag="platform_list"):
+    """Carry the platform's list of VMs at one revision."""
+
+    revision: int
+    vms: tuple[Vm, ...]
+
+
+class SendExchange(msgspec.Struct, frozen=True, tag="send_exchange"):
+    """Ask the edge to exchange with a peer."""
+
+    peer: str
+    address: str
+    message: Exchange
+
+
+class PeerChanged(msgspec.Struct, frozen=True, tag="peer_changed"):
+    """Report a change of a peer's state or incarnation."""
+
+    peer: str
+    state: PeerState
+    started_ms: int
+    nonce: int
+
+
+class UpstreamHeard(msgspec.Struct, frozen=True, tag="upstream_heard"):
+    """Hand a rumor about an upstream to `UpstreamView.heard`."""
+
+    rumor: Rumor
+
+
+class Superseded(msgspec.Struct, frozen=True, tag="superseded"):
+    """Report that peers hold a later incarnation of this node's name.
+
+    Either the wall clock stepped back before the restart, or two nodes have one name.
+    """
+
+    started_ms: int
+
+
+class Spread(msgspec.Struct, frozen=True, tag="spread"):
+    """Ask for a rumor of `UpstreamView` to be given to `Membership.spread`."""
+
+    rumor: Rumor
+
+
+class UpstreamChanged(msgspec.Struct, frozen=True, tag="upstream_changed"):
+    """Report a change of an upstream's state."""
+
+    upstream: str
+    state: UpstreamState
+
+
+Action = SendExchange | PeerChanged | UpstreamHeard | Superseded
+UpstreamAction = Spread | UpstreamChanged
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/membership/peers.py
@@ -0,0 +1,417 @@
+"""Decide which peers are live and with which peers to gossip.
+
+Failure detection follows SWIM (Das, Gupta, Motivala, 2002): an exchange is the probe, a
+suspicion is a rumor, and the subject refutes it. The upper 32 bits of a heartbeat count
+refutations and the lower 32 bits count intervals. A suspicion or a gone rumor holds
+against every message with the same upper bits, so a late message cannot revive a peer.
+"""
+
+from collections.abc import Iterable
+from random import Random
+
+from dandelionpond.identity import Identity
+from dandelionpond.membership.messages import (
+    Action,
+    Exchange,
+    PeerChanged,
+    PeerState,
+    PlatformList,
+    Rumor,
+    SendExchange,
+    Superseded,
+    UpstreamHeard,
+)
+from dandelionpond.membership.own import OwnState
+from dandelionpond.membership.rumors import RumorQueue
+from dandelionpond.membership.settings import MembershipSettings
+from dandelionpond.membership.table import EPOCH, Peer, PeerTable
+
+# A gone peer is tried once in this many intervals, so that sides of a healed partition
+# meet again even while the platform is down.
+_GONE_RETRY_INTERVALS = 10
+
+
+class Membership:
+    """Track the peers of one node; times are seconds of the injected clock."""
+
+    __slots__ = (
+        "_domain",
+        "_exchanges",
+        "_identity",
+        "_last_tick",
+        "_listed",
+        "_next_beat",
+        "_next_relay",
+        "_own",
+        "_platform_revision",
+        "_queue",
+        "_random",
+        "_resumed_at",
+        "_sent_at",
+        "_settings",
+        "_settings_version",
+        "_suspects",
+        "_table",
+        "_watched",
+        "counts",
+        "is_fresh",
+    )
+
+    def __init__(
+        self,
+        identity: Identity,
+        address: str,
+        failure_domain: str,
+        settings: MembershipSettings,
+        random: Random,
+        now: float,
+    ) -> None:
+        self._identity = identity
+        self._own = OwnState(identity, address, failure_domain)
+        self._domain = failure_domain
+        self._settings = settings
+        self._random = random
+        self._table = PeerTable(settings.max_peers)
+        self._queue = RumorQueue(settings.max_pending_rumors)
+        self._last_tick = now
+        self._next_beat = now
+        self._next_relay: float | None = None
+        self._resumed_at = now
+        self._sent_at: dict[str, float] = {}
+        self._suspects: dict[str, Peer] = {}
+        self._watched: dict[str, Peer] = {}
+        self._listed: frozenset[str] | None = None
+        self._platform_revision = -1
+        self._exchanges = 0
+        self._settings_version = (0, "")
+        self.is_fresh = False
+        self.counts = {"pauses": 0, "stale_lists": 0, "old_messages": 0, "refuted": 0}
+        self._announce()
+
+    @property
+    def wake_at(self) -> float:
+        """Return the time of the next tick that has something to do."""
+        if self._next_relay is None:
+            return self._next_beat
+        return min(self._next_beat, self._next_relay)
+
+    @property
+    def has_first_pass(self) -> bool:
+        """Say whether a platform list and `fanout` replies have been received."""
+        # An empty list alone proves nothing while peers are known.
+        needed = min(self._settings.fanout, len(self._table))
+        return self._listed is not None and self._exchanges >= needed
+
+    @property
+    def peers(self) -> Iterable[Peer]:
+        """Return all known peers; the caller must not change them."""
+        return self._table
+
+    def state_of(self, name: str) -> PeerState | None:
+        """Return the state of a peer, or None if it is unknown."""
+        peer = self._table.get(name)
+        return peer.state if peer else None
+
+    def names(self, domain: str | None = None) -> list[str]:
+        """Return peers that are live or suspect, of one failure domain or of all."""
+        return [
+            peer.name
+            for peer in self._table
+            if peer.state in (PeerState.LIVE, PeerState.SUSPECT)
+            and domain in (None, peer.domain)
+        ]
+
+    def settings_changed(self, revision: int, digest: str, now: float) -> None:
+        """Carry a new settings revision in messages and relay it at once."""
+        self._settings_version = (revision, digest)
+        self._schedule_relay(now)
+
+    def spread(self, rumor: Rumor, now: float) -> None:
+        """Queue an observation of this node, such as one of `UpstreamView`."""
+        self._queue.add(rumor, self._settings.relays)
+        self._schedule_relay(now)
+
+    def tick(self, now: float) -> list[Action]:
+        """Send due heartbeats and relays, and advance suspicions."""
+        self._notice_pause(now)
+        self._last_tick = now
+        actions: list[Action] = []
+        if now >= self._next_beat:
+            self._next_beat = now + self._settings.heartbeat_interval_s
+            self._own.heartbeat += 1
+            self._expire(now, actions)
+            self._send(self._targets(is_relay=False), now, actions)
+            self._next_relay = None
+        elif self._next_relay is not None and now >= self._next_relay:
+            self._next_relay = None
+            self._send(self._targets(is_relay=True), now, actions)
+        return actions
+
+    def received(
+        self, exchange: Exchange, now: float, is_reply: bool = False
+    ) -> list[Action]:
+        """Take in a request or a reply of a peer."""
+        self._notice_pause(now)
+        actions: list[Action] = []
+        sender = exchange.sender
+        if sender.name == self._identity.name:
+            self._about_self((sender.started_ms, sender.nonce), 0, None, now, actions)
+            return actions
+        state = PeerState.LEAVING if exchange.state == "leaving" else PeerState.LIVE
+        own = Rumor(
+            sender.name,
+            "node",
+            state.value,
+            sender.started_ms,
+            sender.nonce,
+            exchange.heartbeat,
+            exchange.peer_address,
+            exchange.failure_domain,
+            sender.name,
+        )
+        self._about_peer(own, now, actions)
+        if is_reply:
+            sent_at = self._sent_at.pop(sender.name, None)
+            if sent_at is not None and sent_at >= self._resumed_at:
+                self._exchanges += 1
+                self.is_fresh = True
+            peer = self._watched.pop(sender.name, None)
+            if peer is not None:
+                peer.failing_since = None
+        for rumor in exchange.rumors[: self._settings.max_rumors]:
+            if rumor.subject_kind == "upstream":
+                actions.append(UpstreamHeard(rumor))
+            elif rumor.subject == self._identity.name:
+                incarnation = (rumor.started_ms, rumor.nonce)
+                self._about_self(
+                    incarnation, rumor.heartbeat, rumor.state, now, actions
+                )
+            else:
+                self._about_peer(rumor, now, actions)
+        return actions
+
+    def reply_to(self, exchange: Exchange) -> Exchange:
+        """Return the reply to a request that `received` has taken in.
+
+        A sender in its first intervals gets a full message, so that it learns of peers
+        quickly while the platform is down.
+        """
+        sender = exchange.sender
+        known = self._table.get(sender.name)
+        incarnation = (sender.started_ms, sender.nonce)
+        is_old = known is not None and known.incarnation != incarnation
+        is_new = exchange.heartbeat % EPOCH <= 5
+        return self._message(sender.name, is_full=is_new, is_old=is_old)
+
+    def exchange_failed(self, peer: str, now: float) -> list[Action]:
+        """Count a failed exchange; suspect after failures for `suspect_after_s`."""
+        self._notice_pause(now)
+        actions: list[Action] = []
+        sent_at = self._sent_at.pop(peer, None)
+        known = self._table.get(peer)
+        # The deadline of a call from before a pause says nothing about the peer.
+        if known is None or sent_at is None or sent_at < self._resumed_at:
+            return actions
+        if known.failing_since is None:
+            known.failing_since = now
+            self._watched[peer] = known
+        elif now - known.failing_since >= self._settings.suspect_after_s and (
+            known.state is PeerState.LIVE
+        ):
+            self._set(known, PeerState.SUSPECT, now, actions)
+        return actions
+
+    def platform_list(self, vms: PlatformList, now: float) -> list[Action]:
+        """Take in the platform's list; heartbeats outweigh it for peers heard of."""
+        self._notice_pause(now)
+        actions: list[Action] = []
+        if vms.revision < self._platform_revision:
+            self.counts["stale_lists"] += 1
+            return actions
+        self._platform_revision = vms.revision
+        nodes = [
+            vm for vm in vms.vms if vm.role == "node" and vm.name != self._identity.name
+        ]
+        self._listed = frozenset(vm.name for vm in nodes)
+        for vm in nodes:
+            peer = self._table.get(vm.name)
+            if peer is None:
+                peer = self._table.add(vm.name, vm.address, vm.failure_domain, now)
+                if peer is not None:
+                    actions.append(PeerChanged(vm.name, PeerState.LIVE, 0, 0))
+            if (
+                peer is not None
+                and vm.state == "leaving"
+                and peer.state in (PeerState.LIVE, PeerState.SUSPECT)
+            ):
+                self._set(peer, PeerState.LEAVING, now, actions)
+        if not nodes:
+            self.is_fresh = True
+        for peer in list(self._table) if self.has_first_pass else ():
+            if peer.incarnation is None and peer.name not in self._listed:
+                self._set(peer, PeerState.GONE, now, actions)
+                self._forget(peer)
+        return actions
+
+    def leaving(self) -> list[Action]:
+        """Tell `fanout` peers at once that this node is leaving."""
+        if not self._own.is_leaving:
+            self._own.leave()
+            self._announce()
+        actions: list[Action] = []
+        self._send(self._targets(is_relay=True), self._last_tick, actions)
+        return actions
+
+    def _notice_pause(self, now: float) -> None:
+        limit = self._settings.pause_intervals * self._settings.heartbeat_interval_s
+        slept = now - self._last_tick
+        if slept <= limit:
+            return
+        self.counts["pauses"] += 1
+        self._last_tick = self._resumed_at = now
+        self.is_fresh = False
+        self._sent_at.clear()
+        # Refutations may have been missed, so each suspicion runs its full time again.
+        for peer in self._suspects.values():
+            peer.changed_at = now
+        for peer in self._watched.values():
+            peer.failing_since = None
+        self._watched.clear()
+
+    def _expire(self, now: float, actions: list[Action]) -> None:
+        settings = self._settings
+        for peer in list(self._suspects.values()):
+            # A starting node has no proof that an unheard peer ever ran.
+            is_known = peer.incarnation is not None or self.has_first_pass
+            if is_known and now - peer.changed_at >= settings.gone_after_s:
+                self._set(peer, PeerState.GONE, now, actions)
+        if self.has_first_pass and self._table.gone:
+            oldest = next(iter(self._table.gone.values()))
+            is_old = now - oldest.changed_at >= settings.forget_after_s
+            if is_old and oldest.name not in (self._listed or ()):
+                self._forget(oldest)
+
+    def _forget(self, peer: Peer) -> None:
+        self._suspects.pop(peer.name, None)
+        self._watched.pop(peer.name, None)
+        self._table.remove(peer)
+
+    def _targets(self, is_relay: bool) -> list[Peer]:
+        fanout = self._settings.fanout
+        chosen: dict[str, Peer] = {}
+        if not is_relay and self._watched:
+            peer = self._watched.pop(next(iter(self._watched)))
+            self._watched[peer.name] = peer
+            chosen[peer.name] = peer
+        is_retry = self._own.heartbeat % _GONE_RETRY_INTERVALS == 0
+        if not is_relay and is_retry and self._table.gone:
+            names = list(self._table.gone)
+            name = names[int(self._random.random() * len(names))]
+            chosen[name] = self._table.gone[name]
+        self._table.sample(
+            chosen,
+            fanout,
+            self._domain,
+            self._settings.foreign_share,
+            is_relay,
+            self._random,
+        )
+        return list(chosen.values())
+
+    def _send(self, targets: list[Peer], now: float, actions: list[Action]) -> None:
+        for peer in targets:
+            self._sent_at[peer.name] = now
+            message = self._message(peer.name, is_full=False)
+            actions.append(SendExchange(peer.name, peer.address, message))
+
+    def _message(self, receiver: str, is_full: bool, is_old: bool = False) -> Exchange:
+        limit = self._settings.max_rumors
+        rumors = []
+        known = self._table.get(receiver)
+        if known is not None and (is_old or known.state is not PeerState.LIVE):
+            rumors.append(known.rumor(self._identity.name))
+        rumors += self._queue.take(limit - len(rumors))
+        # Random knowledge repairs what the bounded relays missed.
+        for _ in range(limit - len(rumors) if is_full else min(1, limit - len(rumors))):
+            is_foreign = self._random.random() < 0.5
+            peer = self._table.pick(self._domain, is_foreign, self._random)
+            if peer is not None and peer.incarnation and peer.name != receiver:
+                rumors.append(peer.rumor(self._identity.name))
+        return self._own.exchange(self._settings_version, tuple(rumors))
+
+    def _announce(self) -> None:
+        self._queue.add(self._own.rumor(), self._settings.relays)
+
+    def _about_self(
+        self,
+        incarnation: tuple[int, int],
+        heartbeat: int,
+        state: str | None,
+        now: float,
+        actions: list[Action],
+    ) -> None:
+        if incarnation > self._own.incarnation:
+            actions.append(Superseded(incarnation[0]))
+        elif state is not None and self._own.refute(incarnation, heartbeat, state):
+            self.counts["refuted"] += 1
+            self._announce()
+            self._schedule_relay(now)
+
+    def _about_peer(self, rumor: Rumor, now: float, actions: list[Action]) -> None:
+        incarnation = (rumor.started_ms, rumor.nonce)
+        try:
+            state = PeerState(rumor.state)
+        except ValueError:
+            return
+        peer = self._table.get(rumor.subject)
+        if peer is None:
+            if state is PeerState.GONE or incarnation == (0, 0):
+                return
+            peer = self._table.add(
+                rumor.subject, rumor.peer_address, rumor.failure_domain, now
+            )
+            if peer is None:
+                return
+        known = peer.incarnation
+        if known is not None and incarnation < known:
+            self.counts["old_messages"] += 1
+            return
+        if incarnation == (0, 0):
+            return
+        if incarnation == known and not peer.is_news(rumor.heartbeat, state):
+            if state is peer.state:
+                peer.heartbeat = max(peer.heartbeat, rumor.heartbeat)
+            return
+        peer.incarnation = incarnation
+        peer.heartbeat = max(
+            rumor.heartbeat, peer.heartbeat if incarnation == known else 0
+        )
+        self._set(peer, state, now, actions, rumor.peer_address, rumor.failure_domain)
+
+    def _set(
+        self,
+        peer: Peer,
+        state: PeerState,
+        now: float,
+        actions: list[Action],
+        address: str = "",
+        domain: str = "",
+    ) -> None:
+        self._table.update(peer, state, address, domain)
+        peer.changed_at = now
+        self._suspects.pop(peer.name, None)
+        if state is PeerState.SUSPECT:
+            self._suspects[peer.name] = peer
+        if state is not PeerState.SUSPECT:
+            peer.failing_since = None
+            self._watched.pop(peer.name, None)
+        started_ms, nonce = peer.incarnation or (0, 0)
+        actions.append(PeerChanged(peer.name, state, started_ms, nonce))
+        if peer.incarnation is not None or state is not PeerState.LIVE:
+            self._queue.add(peer.rumor(self._identity.name), self._settings.relays)
+            self._schedule_relay(now)
+
+    def _schedule_relay(self, now: float) -> None:
+        if self._next_relay is None:
+            spacing = self._settings.relay_spacing_s
+            self._next_relay = now + spacing * self._random.random()
--- a/packages/dandelionpond/src/dandelionpond/membership/settings.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/settings.py
@@ -4,7 +4,13 @@
 
 
 class MembershipSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Set the pace of heartbeats and the rules of suspicion; times are in seconds."""
+    """Set the pace of heartbeats and the rules of suspicion; times are in seconds.
+
+    `relays` is how many messages of one node carry the same rumor: a push epidemic
+    misses about exp(-relays) of the nodes. `foreign_share` is the part of periodic
+    exchanges that goes to other failure domains. `pause_intervals` is the number of
+    heartbeat intervals without a tick after which the node treats itself as paused.
+    """
 
     heartbeat_interval_s: float = 1.0
     fanout: int = 3
@@ -14,3 +20,11 @@
     suspicion_quorum: int = 3
     max_peers: int = 8192
     max_upstreams: int = 16384
+    relays: int = 12
+    relay_spacing_s: float = 0.1
+    foreign_share: float = 0.25
+    pause_intervals: float = 3.0
+    forget_after_s: float = 3600.0
+    max_pending_rumors: int = 1024
+    suspicion_ttl_s: float = 15.0
+    max_suspected_share: float = 0.34
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/membership/tests/test_peers.py
@@ -0,0 +1,200 @@
+"""Test the states of peers and the exchange of rumors."""
+
+from random import Random
+
+import msgspec
+
+from dandelionpond.identity import Identity
+from dandelionpond.membership.messages import (
+    Exchange,
+    PeerState,
+    PlatformList,
+    Rumor,
+    SendExchange,
+    Superseded,
+    Vm,
+)
+from dandelionpond.membership.peers import Membership
+from dandelionpond.membership.settings import MembershipSettings
+from dandelionpond.membership.table import EPOCH
+
+SETTINGS = MembershipSettings()
+
+
+def listing(revision, *names, state="running"):
+    vms = tuple(Vm(name, "node", f"{name}:1", "d1", state) for name in names)
+    return PlatformList(revision, vms)
+
+
+def node(name="a", peers=("b", "c", "d"), now=0.0):
+    identity = Identity(name, 1_000, 1)
+    membership = Membership(identity, f"{name}:1", "d1", SETTINGS, Random(1), now)
+    membership.platform_list(listing(1, name, *peers), now)
+    return membership
+
+
+def hello(name, started=1_000, heartbeat=1, state="serving", rumors=()):
+    sender = Identity(name, started, 2)
+    return Exchange(sender, f"{name}:1", "d1", state, heartbeat, rumors=rumors)
+
+
+def about(subject, state, heartbeat=1, started=1_000, nonce=2):
+    address = f"{subject}:1"
+    return Rumor(subject, "node", state, started, nonce, heartbeat, address, "d1", "z")
+
+
+def fail_until(membership, peer, until, now=0.0):
+    """Tick each second, fail exchanges with `peer` and answer the others."""
+    while now < until:
+        now += 1.0
+        for action in membership.tick(now):
+            if isinstance(action, SendExchange):
+                if action.peer == peer:
+                    membership.exchange_failed(peer, now)
+                else:
+                    reply = hello(action.peer, heartbeat=int(now))
+                    membership.received(reply, now, is_reply=True)
+    return now
+
+
+class TestStates:
+    def test_silent_peer_becomes_suspect_then_gone(self):
+        """Guard against a dead peer that stays in use."""
+        membership = node()
+        membership.received(hello("b"), 0.0)
+        now = fail_until(membership, "b", 9.0)
+        assert membership.state_of("b") is PeerState.SUSPECT
+        fail_until(membership, "b", now + 32.0, now)
+        assert membership.state_of("b") is PeerState.GONE
+        assert membership.state_of("c") is PeerState.LIVE
+
+    def test_old_messages_do_not_revive_a_gone_incarnation(self):
+        """Guard against late messages that bring back a dead node."""
+        membership = node()
+        membership.received(hello("b", heartbeat=7), 0.0)
+        membership.received(hello("c", rumors=(about("b", "gone", 7),)), 1.0)
+        membership.received(hello("b", heartbeat=900), 2.0)
+        membership.received(hello("c", rumors=(about("b", "live", 901),)), 2.0)
+        membership.platform_list(listing(2, "a", "b", "c"), 2.0)
+        assert membership.state_of("b") is PeerState.GONE
+
+    def test_newer_incarnation_replaces_and_older_is_ignored(self):
+        """Guard against a restarted node that is taken for its previous run."""
+        membership = node()
+        membership.received(hello("c", rumors=(about("b", "gone"),)), 1.0)
+        membership.received(hello("b", started=2_000), 2.0)
+        assert membership.state_of("b") is PeerState.LIVE
+        membership.received(hello("c", rumors=(about("b", "gone", EPOCH * 9),)), 3.0)
+        assert membership.state_of("b") is PeerState.LIVE
+        assert membership.counts["old_messages"] == 1
+
+    def test_refutation_revives_after_a_partition(self):
+        """Guard against a healed partition whose sides never meet again."""
+        one, two = node("a", ("b",)), node("b", ("a",))
+        one.received(hello("b"), 0.0)
+        identity = Identity("b", 1_000, 2)
+        two = Membership(identity, "b:1", "d1", SETTINGS, Random(2), 0.0)
+        two.platform_list(listing(1, "a", "b"), 0.0)
+        now = fail_until(one, "b", 60.0)
+        assert one.state_of("b") is PeerState.GONE
+        for _ in range(20):
+            now += 1.0
+            two.tick(now)
+            for action in one.tick(now):
+                two.received(action.message, now)
+                one.received(two.reply_to(action.message), now, is_reply=True)
+        assert one.state_of("b") is PeerState.LIVE
+        assert two.counts["refuted"] == 1
+
+    def test_leaving_wins_over_earlier_messages(self):
+        """Guard against a late message that hides a planned stop."""
+        leaver, other = node("b", ("a",)), node("a", ("b",))
+        before = leaver.reply_to(hello("a"))
+        action = leaver.leaving()[0]
+        other.received(action.message, 1.0)
+        other.received(before, 1.5)
+        assert other.state_of("b") is PeerState.LEAVING
+
+    def test_stepped_back_clock_is_reported(self):
+        """Guard against a restarted node that its peers ignore for ever."""
+        membership, early = node(), hello("b", started=500)
+        membership.received(hello("b"), 0.0)
+        membership.received(early, 1.0)
+        reply = membership.reply_to(early)
+        restarted = Membership(early.sender, "b:1", "d1", SETTINGS, Random(3), 0.0)
+        assert Superseded(1_000) in restarted.received(reply, 1.0, is_reply=True)
+
+
+class TestPauses:
+    def test_own_pause_suspects_nobody_and_makes_the_view_stale(self):
+        """Guard against a resumed node that suspects peers for its own sleep."""
+        membership = node()
+        membership.received(hello("b"), 0.0)
+        now = fail_until(membership, "b", 4.0)
+        assert membership.is_fresh
+        sent = [action.peer for action in membership.tick(now + 1.0)]
+        now += 600.0
+        for peer in sent:
+            membership.exchange_failed(peer, now)
+        assert not membership.is_fresh
+        assert set(membership.names()) == {"b", "c", "d"}
+        late = hello(sent[0], heartbeat=9)
+        membership.received(late, now, is_reply=True)
+        assert not membership.is_fresh
+        fail_until(membership, None, now + 1.5, now)
+        assert membership.is_fresh
+
+    def test_suspicion_runs_again_after_a_pause(self):
+        """Guard against a peer declared gone for a refutation missed in sleep."""
+        membership = node()
+        membership.received(hello("c", rumors=(about("b", "suspect"),)), 0.5)
+        membership.tick(500.0)
+        assert membership.state_of("b") is PeerState.SUSPECT
+
+
+class TestPlatformList:
+    def test_unheard_peers_are_kept_until_the_first_pass(self):
+        """Guard against a starting node that prunes what it has not heard of yet."""
+        membership = node()
+        membership.platform_list(listing(2, "a"), 1.0)
+        membership.platform_list(listing(1, "a", "x"), 1.0)
+        assert membership.counts["stale_lists"] == 1
+        assert membership.state_of("x") is None
+        assert set(membership.names()) == {"b", "c", "d"}
+
+    def test_heartbeats_outweigh_a_lagging_list(self):
+        """Guard against a list that lags and removes a running node."""
+        membership = node()
+        now = fail_until(membership, None, 5.0)
+        membership.platform_list(listing(2, "a"), now)
+        assert "b" in membership.names()
+
+
+class TestBounds:
+    def test_message_size_and_relays_are_bounded(self):
+        """Guard against news that grows a message or is relayed for ever."""
+        membership = node()
+        membership.tick(1.0)
+        crowd = tuple(about(f"n{index}", "live") for index in range(500))
+        for start in range(0, 500, 32):
+            membership.received(hello("b", rumors=crowd[start : start + 32]), 1.0)
+        assert membership.wake_at <= 1.0 + SETTINGS.relay_spacing_s
+        sent, now = [], 1.0
+        for _ in range(200):
+            now += 1.0
+            sent += [a.message for a in membership.tick(now)]
+        assert max(len(message.rumors) for message in sent) <= SETTINGS.max_rumors
+        assert len(sent[-1].rumors) <= 2
+
+    def test_table_bound_removes_gone_first(self):
+        """Guard against a table that grows with every restarted VM."""
+        settings = msgspec.structs.replace(SETTINGS, max_peers=3)
+        identity = Identity("a", 1, 1)
+        membership = Membership(identity, "a:1", "d1", settings, Random(1), 0.0)
+        membership.received(hello("b", rumors=(about("b", "gone"),)), 0.0)
+        membership.received(hello("c", rumors=(about("d", "live"),)), 0.0)
+        membership.received(hello("e"), 0.0)
+        assert membership.state_of("b") is None
+        membership.received(hello("f"), 0.0)
+        assert membership.state_of("f") is None
+        assert membership.state_of("e") is PeerState.LIVE
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/membership/tests/test_upstreams.py
@@ -0,0 +1,133 @@
+"""Test the states of upstreams."""
+
+import msgspec
+
+from dandelionpond.membership.messages import (
+    PlatformList,
+    Rumor,
+    Spread,
+    UpstreamState,
+    Vm,
+)
+from dandelionpond.membership.settings import MembershipSettings
+from dandelionpond.membership.upstreams import UpstreamView
+
+SETTINGS = MembershipSettings()
+
+
+def view(count=12, name="a", settings=SETTINGS):
+    upstreams = UpstreamView(name, "d1", settings)
+    upstreams.configured({f"u{index}": "d1" for index in range(count)})
+    return upstreams
+
+
+def listing(revision, state):
+    return PlatformList(revision, (Vm("u1", "engine", "u1:1", "d1", state),))
+
+
+def report(origin, state="suspect", domain="d1", subject="u1", version=0):
+    return Rumor(
+        subject,
+        "upstream",
+        state,
+        heartbeat=version,
+        failure_domain=domain,
+        origin=origin,
+    )
+
+
+class TestLeaving:
+    def test_first_source_wins_and_is_spread(self):
+        """Guard against a leaving upstream that gets work until the list says so."""
+        for act in (
+            lambda upstreams: upstreams.answered("u1", True, 0.0),
+            lambda upstreams: upstreams.heard(report("b", "leaving"), 0.0),
+            lambda upstreams: upstreams.platform_list(listing(1, "leaving"), 0.0),
+        ):
+            upstreams = view()
+            actions = act(upstreams)
+            assert upstreams.state_of("u1") is UpstreamState.LEAVING
+            assert any(isinstance(action, Spread) for action in actions)
+
+    def test_returns_only_by_newer_list_or_own_answer(self):
+        """Guard against a late rumor or an old list that brings an upstream back."""
+        upstreams = view()
+        upstreams.platform_list(listing(5, "leaving"), 0.0)
+        upstreams.heard(report("b", "live", version=99 << 16), 1.0)
+        upstreams.platform_list(listing(4, "running"), 1.0)
+        assert upstreams.state_of("u1") is UpstreamState.LEAVING
+        upstreams.platform_list(listing(6, "running"), 2.0)
+        assert upstreams.state_of("u1") is UpstreamState.LIVE
+        upstreams.heard(report("b", "leaving", version=5 << 16), 3.0)
+        assert upstreams.state_of("u1") is UpstreamState.LIVE
+        upstreams.answered("u1", True, 4.0)
+        upstreams.answered("u1", False, 5.0)
+        assert upstreams.state_of("u1") is UpstreamState.LIVE
+
+    def test_second_stop_is_heard_by_nodes_that_saw_a_later_list(self):
+        """Guard against a rumor refused because another list revealed the return."""
+        one, two = view(name="a"), view(name="b")
+        for upstreams, revision in ((one, 6), (two, 9)):
+            upstreams.platform_list(listing(5, "leaving"), 0.0)
+            for action in upstreams.platform_list(listing(revision, "running"), 1.0):
+                if isinstance(action, Spread):
+                    one.heard(action.rumor, 1.0)
+        spread = [
+            action.rumor
+            for action in one.answered("u1", True, 2.0)
+            if isinstance(action, Spread)
+        ]
+        two.heard(spread[0], 2.0)
+        assert two.state_of("u1") is UpstreamState.LEAVING
+
+
+class TestSuspicion:
+    def test_own_suspicion_stays_local(self):
+        """Guard against one node with a bad link that takes an upstream from all."""
+        one, two = view(name="a"), view(name="b")
+        for action in one.suspected("u1", 0.0):
+            if isinstance(action, Spread):
+                two.heard(action.rumor, 0.0)
+        assert one.state_of("u1") is UpstreamState.SUSPECT
+        assert two.state_of("u1") is UpstreamState.LIVE
+
+    def test_quorum_of_distinct_reporters_ejects_until_reports_expire(self):
+        """Guard against repeats that count twice and against lasting ejection."""
+        upstreams = view()
+        for origin in ("b", "b", "c"):
+            upstreams.heard(report(origin), 0.0)
+        assert upstreams.state_of("u1") is UpstreamState.LIVE
+        upstreams.heard(report("d"), 0.0)
+        assert upstreams.state_of("u1") is UpstreamState.EJECTED
+        upstreams.tick(SETTINGS.suspicion_ttl_s)
+        assert upstreams.state_of("u1") is UpstreamState.LIVE
+
+    def test_another_domain_counts_as_one_reporter(self):
+        """Guard against a bad link of one domain that ejects another's upstream."""
+        upstreams = view()
+        for index in range(20):
+            upstreams.heard(report(f"x{index}", domain="d2"), 0.0)
+        upstreams.heard(report("y", domain="d3"), 0.0)
+        assert upstreams.state_of("u1") is UpstreamState.LIVE
+        upstreams.heard(report("b"), 0.0)
+        assert upstreams.state_of("u1") is UpstreamState.EJECTED
+
+    def test_share_taken_out_is_bounded(self):
+        """Guard against a failure of the observer that empties the fleet."""
+        upstreams = view()
+        for index in range(12):
+            upstreams.suspected(f"u{index}", 0.0)
+        assert len(upstreams.usable()) == 8
+        assert upstreams.counts["share_bound"] == 8
+
+
+class TestTable:
+    def test_bound_removes_only_unconfigured(self):
+        """Guard against a table that grows with every registration."""
+        settings = msgspec.structs.replace(SETTINGS, max_upstreams=2)
+        upstreams = view(2, settings=settings)
+        upstreams.configured({"u1": "d1"})
+        assert upstreams.state_of("u0") is UpstreamState.GONE
+        upstreams.configured({"u1": "d1", "v": "d1", "w": "d1"})
+        assert upstreams.state_of("v") is UpstreamState.LIVE
+        assert upstreams.counts["table_full"] == 1
