--- a/packages/dandelionpond/src/dandelionpond/membership/peers.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/peers.py
@@ -137,7 +137,10 @@
         self._last_tick = now
         actions: list[Action] = []
         if now >= self._next_beat:
-            self._next_beat = now + self._settings.heartbeat_interval_s
+            # Nodes that start together would otherwise send at the same instants, and
+            # news would wait a whole interval for the next ones.
+            jitter = 0.9 + 0.2 * self._random.random()
+            self._next_beat = now + self._settings.heartbeat_interval_s * jitter
             self._own.heartbeat += 1
             self._expire(now, actions)
             self._send(self._targets(is_relay=False), now, actions)
@@ -308,23 +311,31 @@
             names = list(self._table.gone)
             name = names[int(self._random.random() * len(names))]
             chosen[name] = self._table.gone[name]
-        self._table.sample(
-            chosen,
-            fanout,
+        settings = self._settings
+        rotate = not is_relay and self._own.heartbeat % settings.view_rotation == 0
+        self._table.refresh_view(
+            settings.view_size,
             self._domain,
-            self._settings.foreign_share,
-            is_relay,
+            settings.foreign_share,
+            rotate,
             self._random,
         )
+        self._table.sample(chosen, fanout, self._domain, is_relay, self._random)
         return list(chosen.values())
 
     def _send(self, targets: list[Peer], now: float, actions: list[Action]) -> None:
         for peer in targets:
             self._sent_at[peer.name] = now
-            message = self._message(peer.name, is_full=False)
+            message = self._message(peer.name, is_request=True)
             actions.append(SendExchange(peer.name, peer.address, message))
 
-    def _message(self, receiver: str, is_full: bool, is_old: bool = False) -> Exchange:
+    def _message(
+        self,
+        receiver: str,
+        is_full: bool = False,
+        is_old: bool = False,
+        is_request: bool = False,
+    ) -> Exchange:
         limit = self._settings.max_rumors
         rumors = []
         known = self._table.get(receiver)
@@ -332,7 +343,8 @@
             rumors.append(known.rumor(self._identity.name))
         rumors += self._queue.take(limit - len(rumors))
         # Random knowledge repairs what the bounded relays missed.
-        for _ in range(limit - len(rumors) if is_full else min(1, limit - len(rumors))):
+        spare = limit - len(rumors) if is_full else int(not rumors and is_request)
+        for _ in range(spare):
             is_foreign = self._random.random() < 0.5
             peer = self._table.pick(self._domain, is_foreign, self._random)
             if peer is not None and peer.incarnation and peer.name != receiver:
--- a/packages/dandelionpond/src/dandelionpond/membership/settings.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/settings.py
@@ -7,8 +7,9 @@
     """Set the pace of heartbeats and the rules of suspicion; times are in seconds.
 
     `relays` is how many messages of one node carry the same rumor: a push epidemic
-    misses about exp(-relays) of the nodes. `foreign_share` is the part of periodic
-    exchanges that goes to other failure domains. `pause_intervals` is the number of
+    misses about exp(-relays) of the nodes. Exchanges go to a view of `view_size` peers,
+    of which one is replaced every `view_rotation` heartbeats and `foreign_share` are of
+    other failure domains. `pause_intervals` is the number of
     heartbeat intervals without a tick after which the node treats itself as paused.
     """
 
@@ -28,3 +29,5 @@
     max_pending_rumors: int = 1024
     suspicion_ttl_s: float = 15.0
     max_suspected_share: float = 0.34
+    view_size: int = 16
+    view_rotation: int = 10
--- a/packages/dandelionpond/src/dandelionpond/membership/table.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/table.py
@@ -73,6 +73,7 @@
         "_domains",
         "_peers",
         "_places",
+        "_view",
         "gone",
         "refused",
         "removed",
@@ -83,6 +84,7 @@
         self._peers: dict[str, Peer] = {}
         self._domains: dict[str, list[str]] = {}
         self._places: dict[str, tuple[str, int]] = {}
+        self._view: list[Peer] = []
         self.gone: dict[str, Peer] = {}
         self.refused = 0
         self.removed = 0
@@ -140,29 +142,54 @@
             return None
         return self._peers[names[int(random.random() * len(names))]]
 
+    def refresh_view(
+        self, size: int, domain: str, foreign_share: float, rotate: bool, random: Random
+    ) -> None:
+        """Fill the view up to `size` peers; with `rotate`, replace its oldest one.
+
+        Exchanges go to the peers of the view, so that their channels stay open. The
+        view changes slowly, so that each node is observed by changing peers.
+        """
+        self._view = [
+            peer
+            for peer in self._view
+            if peer.state is not PeerState.GONE and self._peers.get(peer.name) is peer
+        ]
+        if rotate and len(self._view) >= size:
+            del self._view[0]
+        foreign = sum(peer.domain != domain for peer in self._view)
+        wanted = max(1, round(size * foreign_share))
+        for _ in range(size * 2):
+            if len(self._view) >= size:
+                return
+            is_foreign = foreign < wanted
+            found = self.pick(domain, is_foreign, random)
+            found = found or self.pick(domain, not is_foreign, random)
+            if found is not None and found not in self._view:
+                self._view.append(found)
+                foreign += found.domain != domain
+
     def sample(
         self,
         chosen: dict[str, Peer],
         count: int,
         domain: str,
-        foreign_share: float,
         is_foreign_first: bool,
         random: Random,
     ) -> None:
-        """Fill `chosen` with random peers up to `count`.
+        """Fill `chosen` with random peers of the view up to `count`.
 
-        Each is of another failure domain with probability `foreign_share`; with
-        `is_foreign_first` the first one always is, so that news crosses domains.
+        With `is_foreign_first` the first one is of another failure domain, so that
+        news crosses domains.
         """
-        for attempt in range(count * 3):
+        order = random.sample(self._view, len(self._view))
+        if is_foreign_first:
+            foreign = [peer for peer in order if peer.domain != domain][:1]
+            order = foreign + order
+        for peer in order:
             if len(chosen) >= count:
                 return
-            is_foreign = is_foreign_first and attempt == 0
-            is_foreign = is_foreign or random.random() < foreign_share
-            found = self.pick(domain, is_foreign, random)
-            found = found or self.pick(domain, not is_foreign, random)
-            if found is not None:
-                chosen[found.name] = found
+            chosen[peer.name] = peer
 
     def _place(self, peer: Peer) -> None:
         names = self._domains.setdefault(peer.domain, [])
