--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/limits/admission.py
@@ -0,0 +1,77 @@
+"""Refuse what cannot make its deadline, and keep queues in the node."""
+
+import math
+
+from expression import Error, Ok, Result
+
+from dandelionpond.errors import ErrorKind, Failure
+from dandelionpond.limits.settings import LimitsSettings
+
+_LEARNING_RATE = 0.05
+
+
+class Admission:
+    """Decide whether a request can make its deadline, from learned throughput.
+
+    `rate_tokens_per_s` is the rate at which this node's queue is served.
+    """
+
+    __slots__ = ("_at", "_rate", "_settings", "refused")
+
+    def __init__(self, settings: LimitsSettings, rate_tokens_per_s: float) -> None:
+        self._settings = settings
+        self._rate = rate_tokens_per_s
+        self._at = -math.inf
+        self.refused = 0
+
+    @property
+    def rate_tokens_per_s(self) -> float:
+        """Return the learned service rate of the node's queue."""
+        return self._rate
+
+    def served(self, tokens: float, elapsed_s: float, backlogged: bool) -> None:
+        """Learn the service rate from a period in which the queue never emptied."""
+        if backlogged and elapsed_s > 0.0:
+            factor = 1.0 - math.exp(-_LEARNING_RATE * elapsed_s)
+            self._rate += factor * (tokens / elapsed_s - self._rate)
+            self._rate = max(1.0, self._rate)
+
+    def queue_wait_s(self, tokens_before: float) -> float:
+        """Return the expected wait in the node's queue in seconds."""
+        return tokens_before / self._rate
+
+    def check(
+        self, tokens_before: float, needed_s: float, remaining_s: float
+    ) -> Result[float, Failure]:
+        """Return the expected wait, or refuse at once with a time to come back."""
+        wait = self.queue_wait_s(tokens_before)
+        if wait + needed_s <= remaining_s:
+            return Ok(wait)
+        self.refused += 1
+        retry = min(self._settings.max_retry_after_s, max(1.0, wait))
+        if needed_s > remaining_s:
+            message = f"{needed_s:.1f} s of work with {remaining_s:.1f} s left"
+        else:
+            message = f"expected wait of {wait:.1f} s with {remaining_s:.1f} s left"
+        return Error(Failure(ErrorKind.DEADLINE_UNREACHABLE, message, retry))
+
+
+class EngineWindows:
+    """Bound what a node lets wait in each engine, so that queues form in the node.
+
+    An engine serves in order of priority and arrival and knows no accounts; only the
+    node's queue is fair. The window is a time: a request is sent when the estimated
+    prefill before it takes at most `engine_queue_s`.
+    """
+
+    __slots__ = ("_settings", "held_back")
+
+    def __init__(self, settings: LimitsSettings) -> None:
+        self._settings = settings
+        self.held_back = 0
+
+    def is_open(self, queue_tokens: float, prefill_tokens_per_s: float) -> bool:
+        """Return whether one more request may be sent to an engine."""
+        is_open = queue_tokens <= self._settings.engine_queue_s * prefill_tokens_per_s
+        self.held_back += not is_open
+        return is_open
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/limits/limiter.py
@@ -0,0 +1,126 @@
+"""Admit requests by client account, in tokens and concurrency."""
+
+import math
+
+import msgspec
+
+from dandelionpond.errors import ErrorKind
+from dandelionpond.limits.settings import AccountLimits, LimitsSettings
+from dandelionpond.limits.shares import Share
+
+
+class Admitted(msgspec.Struct, frozen=True, tag=True):
+    """State that a request is admitted and its tokens are charged."""
+
+    account: str
+    tokens: float
+
+
+class Refused(msgspec.Struct, frozen=True, tag=True):
+    """State why a request is refused and when to come back, in seconds."""
+
+    kind: ErrorKind
+    retry_after_s: float | None
+
+
+class _Bucket:
+    __slots__ = ("at", "in_flight", "level", "limits", "share")
+
+    def __init__(self, limits: AccountLimits, share: Share, now: float) -> None:
+        self.limits = limits
+        self.share = share
+        self.at = now
+        self.in_flight = 0
+        self.level = self.size
+
+    @property
+    def size(self) -> float:
+        """Return this node's part of the burst, in proportion to its rate."""
+        part = self.share.tokens_per_s / max(1e-9, self.limits.tokens_per_s)
+        return self.limits.burst_tokens * min(1.0, part)
+
+
+class AccountLimiter:
+    """Own one token bucket and one counter for each client account.
+
+    A prompt may be larger than a node's part of the burst. Such a prompt is admitted
+    when the bucket is full and leaves a debt that delays the account's next requests;
+    so in any T seconds a node admits at most `rate * T` + its part of the burst + one
+    prompt. Only accounts in the settings have a bucket; others are refused.
+    """
+
+    __slots__ = ("_buckets", "_settings", "refused")
+
+    def __init__(self, settings: LimitsSettings) -> None:
+        self._settings = settings
+        self._buckets: dict[str, _Bucket] = {}
+        self.refused = 0
+
+    def set_shares(
+        self, limits: dict[str, AccountLimits], shares: dict[str, Share], now: float
+    ) -> None:
+        """Replace the limits and this node's share of them for each account.
+
+        A bucket keeps its level, bounded by its new size, so that a changed share
+        gives nothing away.
+        """
+        none = Share(0.0, 0)
+        for name in [name for name in self._buckets if name not in limits]:
+            if not self._buckets[name].in_flight:
+                del self._buckets[name]
+            else:
+                self._buckets[name].share = none
+        for name, value in limits.items():
+            share = shares.get(name, none)
+            bucket = self._buckets.get(name)
+            if bucket is None:
+                self._buckets[name] = _Bucket(value, share, now)
+                continue
+            _refill(bucket, now)
+            bucket.limits, bucket.share = value, share
+            bucket.level = min(bucket.level, bucket.size)
+
+    def in_flight(self, account: str) -> int:
+        """Return the requests of an account that have not ended."""
+        bucket = self._buckets.get(account)
+        return bucket.in_flight if bucket else 0
+
+    def admit(self, account: str, tokens: float, now: float) -> Admitted | Refused:
+        """Admit a request and charge its tokens, or say when to come back."""
+        bucket = self._buckets.get(account)
+        if bucket is None:
+            self.refused += 1
+            return Refused(ErrorKind.NOT_PERMITTED, None)
+        _refill(bucket, now)
+        if bucket.in_flight >= bucket.share.concurrency:
+            self.refused += 1
+            return Refused(
+                ErrorKind.CONCURRENCY_LIMITED, self._settings.report_interval_s
+            )
+        missing = min(tokens, bucket.size) - bucket.level
+        rate = bucket.share.tokens_per_s
+        if missing > 1e-6 or rate <= 0.0:
+            self.refused += 1
+            wait = missing / rate if rate > 0.0 else math.inf
+            limit = self._settings.max_retry_after_s
+            return Refused(ErrorKind.RATE_LIMITED, min(limit, max(0.001, wait)))
+        bucket.level -= tokens
+        bucket.in_flight += 1
+        return Admitted(account, tokens)
+
+    def finished(self, admitted: Admitted, used_tokens: float, now: float) -> None:
+        """Record the end of a request and return or charge the difference in tokens."""
+        bucket = self._buckets.get(admitted.account)
+        if bucket is None:
+            return
+        _refill(bucket, now)
+        bucket.in_flight = max(0, bucket.in_flight - 1)
+        level = bucket.level + admitted.tokens - used_tokens
+        bucket.level = min(bucket.size, level)
+
+
+def _refill(bucket: _Bucket, now: float) -> None:
+    elapsed = max(0.0, now - bucket.at)
+    gained = bucket.level + elapsed * bucket.share.tokens_per_s
+    bucket.level = min(bucket.size, gained)
+    bucket.at = max(bucket.at, now)
--- a/packages/dandelionpond/src/dandelionpond/limits/settings.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/settings.py
@@ -16,10 +16,20 @@
 
 
 class LimitsSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Set how fleet-wide limits are shared and how requests queue; times in seconds."""
+    """Set how fleet-wide limits are shared and how requests queue; times in seconds.
+
+    `engine_queue_s` bounds the prefill that a node lets wait in an engine; the rest
+    waits in the node. `max_dispatch_tries` bounds the queue heads tried at once.
+    `ageing_s` is the waiting time after which a long prompt precedes every short one
+    of its client account that arrived later.
+    """
 
     grant_ttl_s: float = 10.0
     report_interval_s: float = 1.0
     floor_share: float = 0.1
     max_queue: int = 2_000
     max_queue_per_account: int = 500
+    engine_queue_s: float = 0.25
+    max_dispatch_tries: int = 16
+    ageing_s: float = 20.0
+    max_retry_after_s: float = 60.0
