--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/requests/tests/test_attempts.py
@@ -0,0 +1,318 @@
+"""Test the attempts of a streamed prompt."""
+
+from hypothesis import settings as profile, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from dandelionpond.clock import ManualClock
+from dandelionpond.errors import ErrorKind, Execution
+from dandelionpond.requests.attempts import Attempts
+from dandelionpond.requests.budget import RetryBudget
+from dandelionpond.requests.messages import (
+    CallerGone,
+    Cancel,
+    Complete,
+    ConnectFailed,
+    Deliver,
+    Fail,
+    Finished,
+    PauseReading,
+    Piece,
+    Refused,
+    Reset,
+    Resume,
+    ResumeReading,
+    Send,
+    Silent,
+    Started,
+    Taken,
+    Tick,
+)
+from dandelionpond.requests.settings import RequestsSettings
+
+ENGINES = ("e1", "e2", "e3")
+
+
+class Run:
+    def __init__(self, hedge_after_s=None, estimate_s=1.0, **fields):
+        settings = RequestsSettings(**{"silence_factor": 4.0, **fields})
+        self.clock = ManualClock()
+        self.budget = RetryBudget(settings)
+        self.attempts = Attempts(
+            "r", ENGINES, settings, self.budget, 1_000.0, estimate_s, hedge_after_s
+        )
+
+    def handle(self, event, after=0.0):
+        self.clock.advance(after)
+        return self.attempts.handle(event, self.clock.monotonic())
+
+    def start(self):
+        [send] = self.handle(Started())
+        self.attempts.may_send(1, 0.0)
+        return send
+
+    def piece(self, attempt, offset, text, after=0.1):
+        piece = Piece(attempt, f"r-{attempt}", offset, len(text), text)
+        return self.handle(piece, after)
+
+    def tick(self):
+        """Advance to the next due time, a little past it, and tick."""
+        self.clock.advance(self.attempts.next_tick() + 0.01 - self.clock.monotonic())
+        return self.handle(Tick())
+
+
+class TestAttempts:
+    def test_silent_connection_is_tested_while_in_doubt(self):
+        """Guard against a working stream that is cut, or text delivered twice."""
+        run = Run()
+        run.start()
+        run.piece(1, 0, "ab")
+        assert run.tick() == [Resume(2, "e1", "r-2", 2)]
+        run.attempts.may_send(2, run.clock.monotonic())
+        assert run.piece(1, 2, "c") == [
+            Deliver(2, "c"),
+            Cancel(2, "e1", "r-2", True),
+        ]
+        assert run.piece(2, 2, "cd") == [] and run.attempts.next_offset == 3
+        assert run.handle(Finished(1, "r-1", 3)) == [Complete(3)]
+
+    def test_new_connection_wins(self):
+        """Guard against a path that lost the connection and holds up the answer."""
+        run = Run()
+        run.start()
+        run.piece(1, 0, "ab")
+        run.tick()
+        assert run.piece(2, 2, "c") == [Deliver(2, "c"), Cancel(1, "e1", "r-1", True)]
+        assert run.piece(1, 2, "cd") == []
+
+    def test_second_silence_moves_to_another_engine(self):
+        """Guard against a dead engine that is tested again and again."""
+        run = Run()
+        run.start()
+        run.piece(1, 0, "ab")
+        run.tick()
+        cancel, resume = run.tick()
+        assert cancel.attempt == 1 and resume.engine != "e1" and resume.offset == 2
+        assert run.tick() == [] and run.attempts.result is None
+
+    def test_silence_bound_follows_the_pace(self):
+        """Guard against a slow stream that is taken for a silent one."""
+        run = Run(estimate_s=10.0)
+        run.start()
+        assert run.attempts.next_tick() == 40.0
+        for offset in range(60):
+            run.piece(1, offset, "x", after=0.5)
+        assert abs(run.attempts.next_tick() - run.clock.monotonic() - 2.0) < 0.01
+
+    def test_pause_of_the_node_is_not_silence(self):
+        """Guard against a new attempt for each stream after the node resumes."""
+        run = Run()
+        run.start()
+        run.piece(1, 0, "ab")
+        assert run.handle(Tick(), after=300.0) == []
+        assert run.piece(1, 2, "c") == [Deliver(2, "c")]
+
+    def test_lost_piece_and_early_end_resume(self):
+        """Guard against an answer with a hole or a missing end."""
+        run = Run()
+        run.start()
+        run.piece(1, 0, "ab")
+        run.piece(1, 3, "d")
+        cancel, resume = run.handle(Finished(1, "r-1", 4))
+        assert cancel.attempt == 1 and resume == Resume(2, "e2", "r-2", 2)
+        assert run.piece(2, 2, "cd") == [Deliver(2, "cd")]
+
+    def test_reset_without_budget_is_incomplete(self):
+        """Guard against a truncated answer that looks whole."""
+        run = Run(retry_burst=0)
+        run.start()
+        run.piece(1, 0, "ab")
+        _, end = run.handle(Reset(1))
+        assert end.failure.kind is ErrorKind.ANSWER_INCOMPLETE
+
+    def test_doubt_outlives_a_refusal(self):
+        """Guard against `not_run` after an earlier attempt sent its prompt."""
+        run = Run(max_attempts=2)
+        run.start()
+        run.handle(Reset(1))
+        _, end = run.handle(Refused(2))
+        assert end.failure.execution is Execution.MAY_HAVE_RUN
+        fresh = Run(max_attempts=1)
+        fresh.handle(Started())
+        _, end = fresh.handle(ConnectFailed(1))
+        assert end.failure.kind is ErrorKind.UPSTREAM_UNREACHABLE
+
+    def test_hedge_only_before_the_first_token_and_within_budget(self):
+        """Guard against hedges that double the load."""
+        run = Run(hedge_after_s=0.5)
+        run.start()
+        assert run.tick() == [Send(2, "e2", "r-2", True)]
+        assert run.piece(2, 0, "a")[1].attempt == 1
+        poor = Run(hedge_after_s=0.5, retry_burst=0)
+        poor.start()
+        assert poor.tick() == []
+        early = Run(hedge_after_s=0.5)
+        early.start()
+        early.piece(1, 0, "a")
+        assert early.attempts.next_tick() > 1.0
+
+    def test_slow_caller_pauses_reading(self):
+        """Guard against undelivered text without a bound, and silence while paused."""
+        run = Run(undelivered_pieces=2)
+        run.start()
+        run.piece(1, 0, "a")
+        assert run.piece(1, 1, "b") == [Deliver(1, "b"), PauseReading()]
+        assert run.attempts.next_tick() == 1_000.0
+        for offset in range(2, 6):
+            run.piece(1, offset, "c")
+        assert run.attempts.dropped_full == 2
+        assert run.handle(Taken(3), after=50.0) == [ResumeReading()]
+        assert run.attempts.next_tick() > run.clock.monotonic()
+
+    def test_caller_gone_and_deadline_cancel_every_attempt(self):
+        """Guard against engine memory that no one releases."""
+        for event, after in ((CallerGone(), 0.0), (Tick(), 2_000.0)):
+            run = Run()
+            run.start()
+            run.handle(Silent(1))
+            run.attempts.may_send(2, run.clock.monotonic())
+            *cancels, _ = run.handle(event, after)
+            assert [(c.attempt, c.may_hold) for c in cancels] == [(1, True), (2, True)]
+            assert not run.attempts.may_send(2, run.clock.monotonic())
+
+
+TRUTH = "".join(chr(0x4E00 + number) for number in range(40))
+
+
+class StreamWorld(RuleBasedStateMachine):
+    """Deliver pieces in any order, more than once or never."""
+
+    def __init__(self):
+        super().__init__()
+        self.run = Run(
+            max_attempts=4, retry_burst=3, reorder_pieces=3, undelivered_pieces=6
+        )
+        self.text = ""
+        self.ended = None
+        # Messages under way, the offset of each attempt's engine, attempts with memory.
+        self.wire = []
+        self.engines = {}
+        self.holding = set()
+        self.waiting = 0
+
+    @initialize(hedge=st.sampled_from([None, 0.5]))
+    def start(self, hedge):
+        self.run.attempts._hedge_after_s = hedge
+        self.take(Started())
+
+    def take(self, event, after=0.0):
+        actions = self.run.handle(event, after)
+        if self.ended is not None:
+            assert actions == []
+        for action in actions:
+            assert self.ended is None
+            match action:
+                case Send() | Resume():
+                    self.engines[action.attempt] = getattr(action, "offset", 0)
+                    now = self.run.clock.monotonic()
+                    if self.run.attempts.may_send(action.attempt, now):
+                        self.holding.add(action.attempt)
+                case Cancel():
+                    assert action.may_hold or action.attempt not in self.holding
+                    self.holding.discard(action.attempt)
+                case Deliver():
+                    assert action.offset == len(self.text)
+                    self.text += action.text
+                    self.waiting += 1
+                case Complete():
+                    assert self.text == TRUTH
+                    self.ended = action
+                case Fail():
+                    self.ended = action
+                    assert action.failure.execution is Execution.MAY_HAVE_RUN
+
+    def pick(self, number):
+        return sorted(self.engines)[number % len(self.engines)]
+
+    @rule(number=st.integers(0, 9), sizes=st.lists(st.integers(1, 9), max_size=6))
+    def engine_emits(self, number, sizes):
+        attempt = self.pick(number)
+        for size in sizes:
+            offset = self.engines[attempt]
+            text = TRUTH[offset : offset + size]
+            if text:
+                name = f"r-{attempt}"
+                self.wire.append(Piece(attempt, name, offset, len(text), text))
+                self.engines[attempt] += len(text)
+
+    @rule(number=st.integers(0, 9))
+    def engine_ends(self, number):
+        attempt = self.pick(number)
+        if self.engines[attempt] == len(TRUTH):
+            self.holding.discard(attempt)
+            self.wire.append(Finished(attempt, f"r-{attempt}", len(TRUTH)))
+
+    @precondition(lambda self: self.wire)
+    @rule(index=st.integers(0, 99), keep=st.sampled_from([False, False, False, True]))
+    def arrive(self, index, keep):
+        event = self.wire[0 if index > 30 else index % len(self.wire)]
+        if not keep:
+            self.wire.remove(event)
+        self.take(event, after=0.05)
+
+    @precondition(lambda self: self.wire)
+    @rule(index=st.integers(0, 99))
+    def lose(self, index):
+        self.wire.pop(index % len(self.wire))
+
+    @precondition(lambda self: self.wire)
+    @rule(attempt=st.integers(0, 9), request=st.integers(0, 9))
+    def foreign(self, attempt, request):
+        """Send a piece that claims a wrong attempt or request identifier."""
+        if attempt != request:
+            offset = len(self.text)
+            self.take(Piece(attempt, f"r-{request}", offset, 1, "wrong"))
+            self.take(Finished(attempt, f"r-{request}", offset))
+
+    @rule(number=st.integers(0, 9), event=st.sampled_from([Reset, Silent]))
+    def fault(self, number, event):
+        self.take(event(self.pick(number)))
+
+    @rule()
+    def tick(self):
+        if self.ended is None:
+            due = self.run.attempts.next_tick() - self.run.clock.monotonic()
+            self.take(Tick(), after=max(0.0, due) + 0.01 if due < 100 else 0.01)
+
+    @rule()
+    def pause_node(self):
+        self.take(Tick(), after=20.0)
+
+    @rule(pieces=st.integers(1, 8))
+    def caller_takes(self, pieces):
+        pieces = min(pieces, self.waiting)
+        self.waiting -= pieces
+        self.take(Taken(pieces))
+
+    @invariant()
+    def text_is_a_prefix_and_work_is_bounded(self):
+        assert TRUTH.startswith(self.text)
+        assert len(self.engines) <= 4
+        assert self.run.budget.taken == max(0, len(self.engines) - 1)
+        # One flush of the reorder buffer can pass the hard bound of 2 x 6 pieces.
+        assert self.waiting <= 12 + 3
+
+    def teardown(self):
+        if self.ended is None:
+            self.take(Tick(), after=2_000.0)
+        assert self.ended is not None
+        assert not self.holding
+
+
+TestStreamWorld = StreamWorld.TestCase
+TestStreamWorld.settings = profile(max_examples=150, stateful_step_count=50)
