Let limits and routing take changed settings

Cause: settings change while a node runs. Ruled out: rebuilding the slices, which would forget queued requests and loads. Conclusion: each slice takes new settings from its next event on.

--- a/packages/dandelionpond/src/dandelionpond/limits/admission.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/admission.py
@@ -16,10 +16,11 @@
     `rate_tokens_per_s` is the rate at which this node's queue is served.
     """
 
-    __slots__ = ("_at", "_rate", "_settings", "refused")
+    __slots__ = ("_at", "_configured_rate", "_rate", "_settings", "refused")
 
     def __init__(self, settings: LimitsSettings, rate_tokens_per_s: float) -> None:
         self._settings = settings
+        self._configured_rate = rate_tokens_per_s
         self._rate = rate_tokens_per_s
         self._at = -math.inf
         self.refused = 0
@@ -29,6 +30,13 @@
         """Return the learned service rate of the node's queue."""
         return self._rate
 
+    def configure(self, settings: LimitsSettings, rate_tokens_per_s: float) -> None:
+        """Take new settings; the rate is the start of learning if engines change."""
+        self._settings = settings
+        if rate_tokens_per_s != self._configured_rate:
+            self._configured_rate = rate_tokens_per_s
+            self._rate = max(1.0, rate_tokens_per_s)
+
     def served(self, tokens: float, elapsed_s: float, backlogged: bool) -> None:
         """Learn the service rate from a period in which the queue never emptied."""
         if backlogged and elapsed_s > 0.0:
@@ -70,6 +78,10 @@
         self._settings = settings
         self.held_back = 0
 
+    def configure(self, settings: LimitsSettings) -> None:
+        """Take new settings from the next event on."""
+        self._settings = settings
+
     def is_open(self, queue_tokens: float, prefill_tokens_per_s: float) -> bool:
         """Return whether one more request may be sent to an engine."""
         is_open = queue_tokens <= self._settings.engine_queue_s * prefill_tokens_per_s
--- a/packages/dandelionpond/src/dandelionpond/limits/limiter.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/limiter.py
@@ -80,6 +80,10 @@
             bucket.limits, bucket.share = value, share
             bucket.level = min(bucket.level, bucket.size)
 
+    def configure(self, settings: LimitsSettings) -> None:
+        """Take new settings from the next event on."""
+        self._settings = settings
+
     def in_flight(self, account: str) -> int:
         """Return the requests of an account that have not ended."""
         bucket = self._buckets.get(account)
--- a/packages/dandelionpond/src/dandelionpond/limits/queue.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/queue.py
@@ -94,6 +94,11 @@
         """Return the virtual time in tokens for a weight of one."""
         return self._virtual
 
+    def configure(self, settings: LimitsSettings, policy: RoutingSettings) -> None:
+        """Take new settings from the next event on."""
+        self._settings = settings
+        self._policy = policy
+
     def waiting(self, account: str) -> int:
         """Return the number of waiting requests of an account."""
         entry = self._accounts.get(account)
--- a/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
@@ -1,7 +1,7 @@
 """Decide for each prompt of one node: refuse it, let it wait, or place it."""
 
 import msgspec
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from dandelionpond.config.schema import EngineUpstream, Settings
 from dandelionpond.errors import ErrorKind, Failure
@@ -48,15 +48,6 @@
         return self.prompt_tokens + self.max_tokens
 
 
-class RouteInput(msgspec.Struct, frozen=True):
-    """Hold the recorded input of `choose`."""
-
-    request: RouteRequest
-    candidates: tuple[Candidate, ...]
-    policy: object
-    seed: int
-
-
 class Place(msgspec.Struct, frozen=True, tag=True):
     """Send a prompt to an engine; `others` are its replacements, best first."""
 
@@ -153,8 +144,10 @@
             }
         )
         self.outliers.set_reach(tuple(self._engines))
-        for part in (self.loads, self.outliers, self.prefixes, self.separation):
-            part.configure(settings.routing)
+        self.loads.configure(settings.routing)
+        self.outliers.configure(settings.routing)
+        self.prefixes.configure(settings.routing)
+        self.separation.configure(settings.routing)
         self.windows.configure(settings.limits)
         self.queue.configure(settings.limits, settings.routing)
         rate = sum(engine.prefill_tokens_per_s for engine in self._engines.values())
@@ -186,7 +179,9 @@
             failure = Failure(kind, "the queue of this node is full", max(1.0, wait))
             return [Refuse(work.request_id, failure)]
         self._work[work.request_id] = work
-        cached = max(self.prefixes.cached_tokens(work.prefix_hashes).values(), default=0)
+        cached = max(
+            self.prefixes.cached_tokens(work.prefix_hashes).values(), default=0
+        )
         uncached = max(0.0, work.prompt_tokens - cached)
         self.separation.arrived(work.prompt_tokens, uncached, now)
         return self.pump(now)
@@ -238,7 +233,9 @@
         for expired in self.queue.expire(now):
             self._work.pop(expired.item.request_id, None)
             self.counters["expired"] += 1
-            failure = Failure(expired.kind, "no engine was free in time", _DEFAULT_RETRY_S)
+            failure = Failure(
+                expired.kind, "no engine was free in time", _DEFAULT_RETRY_S
+            )
             actions.append(Refuse(expired.item.request_id, failure))
         return actions + self.pump(now), changes
 
@@ -300,7 +297,9 @@
         total = sum(self._engines[name].kv_capacity_tokens for name in serving)
         if work.kv_tokens > largest and work.kv_tokens > total:
             message = "the engines in reach have too little memory for this prompt"
-            return Error(Failure(ErrorKind.INSUFFICIENT_MEMORY, message, _DEFAULT_RETRY_S))
+            return Error(
+                Failure(ErrorKind.INSUFFICIENT_MEMORY, message, _DEFAULT_RETRY_S)
+            )
         needed_s = self._needed_s(work, serving)
         before = self.queue.tokens_before(
             work.account, work.weight, float(work.prompt_tokens)
@@ -361,9 +360,7 @@
     def _fits(self, item: Queued, now: float) -> bool:
         work = self._work[item.request_id]
         policy = self._settings.routing
-        level = priority(
-            work.prompt_tokens, work.deadline - now, item.needed_s, policy
-        )
+        level = priority(work.prompt_tokens, work.deadline - now, item.needed_s, policy)
         request = RouteRequest(
             work.request_id,
             work.prompt_tokens,
@@ -414,13 +411,3 @@
             work.request_id, engines, part, request.priority, ttft
         )
         return True
-
-
-def replay_choice(
-    request: RouteRequest,
-    candidates: tuple[Candidate, ...],
-    settings: Settings,
-    seed: int,
-) -> RouteChoice:
-    """Decide a recorded choice again with the settings that were in force."""
-    return choose(request, candidates, settings.routing, seed)
--- a/packages/dandelionpond/src/dandelionpond/routing/load.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/load.py
@@ -86,6 +86,10 @@
         """Return the engines in reach."""
         return tuple(self._engines)
 
+    def configure(self, policy: RoutingSettings) -> None:
+        """Take new settings from the next event on."""
+        self._policy = policy
+
     def set_reach(self, traits: dict[str, EngineTraits]) -> None:
         """Replace the engines in reach; what is known of the others is dropped."""
         for name in [name for name in self._engines if name not in traits]:
--- a/packages/dandelionpond/src/dandelionpond/routing/outliers.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/outliers.py
@@ -79,6 +79,10 @@
             name for name, record in self._records.items() if record.until > -math.inf
         )
 
+    def configure(self, policy: RoutingSettings) -> None:
+        """Take new settings from the next event on."""
+        self._policy = policy
+
     def set_reach(self, engines: tuple[str, ...]) -> None:
         """Replace the engines in reach; records of the others are dropped."""
         self._records = {name: self._records.get(name) or _Record() for name in engines}
--- a/packages/dandelionpond/src/dandelionpond/routing/prefixes.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/prefixes.py
@@ -62,6 +62,10 @@
         """Return the trust in what is known of an engine's cache, from 0.1 to 1."""
         return self._certainty.get(engine, 1.0)
 
+    def configure(self, policy: RoutingSettings) -> None:
+        """Take new settings from the next event on."""
+        self._policy = policy
+
     def sent(self, engine: str, hashes: tuple[int, ...]) -> None:
         """Record that an engine computes, and so caches, a prompt's blocks."""
         for block in hashes:
--- a/packages/dandelionpond/src/dandelionpond/routing/separation.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/separation.py
@@ -62,6 +62,10 @@
         """Return the number of engines reserved for long prompts."""
         return self._reserved
 
+    def configure(self, policy: RoutingSettings) -> None:
+        """Take new settings from the next event on."""
+        self._policy = policy
+
     def arrived(self, prompt_tokens: int, uncached_tokens: float, now: float) -> None:
         """Record demand in uncached tokens."""
         self._decay(now)
