--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Drive the decisions of a node: carry out actions and report events."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/runtime/distribution.py
@@ -0,0 +1,166 @@
+"""Bring published settings to this node and pass them on to peers."""
+
+import asyncio
+from collections.abc import Callable
+
+from dandelionpond.adapters.platform import Folder, PlatformClient, Value, read_folder
+from dandelionpond.config.distribution import Distribution
+from dandelionpond.config.keeper import Accepted, Refused, content_hash
+from dandelionpond.config.messages import (
+    Action,
+    Announce,
+    Event,
+    FetchFromPeer,
+    FolderRead,
+    Offer,
+    Offered,
+    Outcome,
+    Peer,
+    PeerFailed,
+    PeerFetched,
+    PlatformFailed,
+    ReadFolder,
+    Tick,
+    WatchAnswered,
+    WatchPlatform,
+)
+from dandelionpond.config.schema import Settings
+from dandelionpond.peer.client import PeerClient
+from dandelionpond.peer.messages import FetchReply, FetchRequest
+from dandelionpond.runtime.core import Core
+
+TICK_S = 0.25
+# Folders that calls brought and that wait for their `Offer`; a call has at most one.
+MAX_FOLDERS = 8
+
+
+class DistributionRunner:
+    """Carry out the actions of `Distribution`.
+
+    `address_of` gives the peer address of a node by its name, `announce` tells peers
+    of a new revision.
+    """
+
+    def __init__(
+        self,
+        core: Core,
+        platform: PlatformClient,
+        peers: PeerClient,
+        address_of: Callable[[str], str | None],
+        announce: Callable[[int, str], None],
+    ) -> None:
+        local = core.local
+        seeds = [Peer(seed.name, seed.failure_domain) for seed in local.seeds]
+        self._core = core
+        self._platform = platform
+        self._peers = peers
+        self._address_of = address_of
+        self._announce = announce
+        self._values: dict[str, Value] = {}
+        self._folders: dict[int, tuple[int, dict[str, bytes]]] = {}
+        self.distribution = Distribution(
+            local.name,
+            local.failure_domain,
+            seeds,
+            core.settings.distribution,
+            core.random,
+            core.now(),
+        )
+        core.on_settings.append(self._configure)
+
+    def start(self) -> None:
+        """Start the timer."""
+        self._core.tasks.every(lambda: TICK_S, self._tick, "distribution")
+
+    def handle(self, event: Event) -> None:
+        """Report an event and carry out what follows."""
+        for action in self.distribution.handle(event, self._core.now()):
+            self._perform(action)
+
+    def _configure(self, settings: Settings) -> None:
+        self.distribution.configure(settings.distribution)
+
+    async def _tick(self) -> None:
+        self.handle(Tick())
+
+    def _perform(self, action: Action) -> None:
+        spawn = self._core.tasks.spawn
+        match action:
+            case ReadFolder(call):
+                spawn(self._read(call), "read-folder")
+            case WatchPlatform(call, from_revision, wait_s):
+                spawn(self._watch(call, from_revision, wait_s), "watch-platform")
+            case FetchFromPeer(call, peer):
+                spawn(self._fetch(call, peer), "fetch-from-peer")
+            case Offer(call, _):
+                # Deferred, so that `handle` is not entered again from within itself.
+                asyncio.get_running_loop().call_soon(self._offer, call)
+            case Announce(revision, digest):
+                self._announce(revision, digest)
+
+    async def _read(self, call: int) -> None:
+        prefix = self._core.local.settings_prefix
+        result = await read_folder(self._platform, prefix, self._values)
+        if result.is_error():
+            self.handle(PlatformFailed(call))
+            return
+        folder: Folder = result.ok
+        self._values = folder.values
+        self._keep(call, folder.revision, folder.files)
+        self.handle(FolderRead(call, folder.revision))
+
+    async def _watch(self, call: int, from_revision: int, wait_s: float) -> None:
+        prefix = self._core.local.settings_prefix
+        result = await self._platform.watch(prefix, from_revision, wait_s)
+        if result.is_error():
+            self.handle(PlatformFailed(call))
+        else:
+            self.handle(WatchAnswered(call, result.ok.revision))
+
+    async def _fetch(self, call: int, peer: str) -> None:
+        keeper = self._core.keeper
+        address = self._address_of(peer)
+        if address is None:
+            self.handle(PeerFailed(call))
+            return
+        held = tuple(sorted({entry.hash for entry in keeper.manifest()}))
+        request = FetchRequest(self._core.identity, held)
+        result = await self._peers.fetch_settings(address, request)
+        files = self._assemble(result.ok) if result.is_ok() else None
+        if files is None:
+            self.handle(PeerFailed(call))
+            return
+        self._keep(call, result.ok.revision, files)
+        self.handle(PeerFetched(call, result.ok.revision))
+
+    def _assemble(self, reply: FetchReply) -> dict[str, bytes] | None:
+        """Return all files of a reply, or None if one lacks or has other bytes."""
+        held = self._core.keeper.contents()
+        files: dict[str, bytes] = {}
+        for file in reply.files:
+            content = held.get(file.hash) if file.content is None else file.content
+            if content is None or content_hash(content) != file.hash:
+                return None
+            files[file.name] = content
+        return files
+
+    def _keep(self, call: int, revision: int, files: dict[str, bytes]) -> None:
+        self._folders[call] = (revision, files)
+        while len(self._folders) > MAX_FOLDERS:
+            del self._folders[next(iter(self._folders))]
+
+    def _offer(self, call: int) -> None:
+        kept = self._folders.pop(call, None)
+        if kept is None:
+            self.handle(Offered(0, Outcome.STALE))
+            return
+        revision, files = kept
+        verdict = self._core.offer(revision, files)
+        match verdict:
+            case Accepted():
+                outcome = Outcome.ACCEPTED
+            case Refused():
+                outcome = Outcome.REFUSED
+            case _:
+                outcome = Outcome.STALE
+        self.handle(Offered(revision, outcome, self._core.digest))
