--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/adapters/platform.py
@@ -0,0 +1,307 @@
+"""Read and watch the platform service over its published HTTP protocol."""
+
+import asyncio
+from collections.abc import Mapping
+from enum import StrEnum
+from types import TracebackType
+from typing import Protocol, Self, TypeVar
+from urllib.parse import quote
+
+import aiohttp
+import msgspec
+from expression import Error, Ok, Result
+from yarl import URL
+
+MAX_VALUE_BYTES = 1_000_000
+# 20,000 file names or VMs of up to 200 bytes each, with room to double.
+MAX_LISTING_BYTES = 8_000_000
+MAX_FOLDER_BYTES = 64_000_000
+# Time for the answer to a watch to arrive after the platform's own wait is over.
+WATCH_MARGIN_S = 2.0
+FOLDER_TRIES = 4
+
+T = TypeVar("T")
+
+
+class PlatformFault(StrEnum):
+    """List the expected faults of the platform."""
+
+    UNREACHABLE = "unreachable"
+    RESET = "reset"
+    TIMEOUT = "timeout"
+    TRUNCATED = "truncated"
+    TOO_LARGE = "too_large"
+    INVALID = "invalid"
+    NOT_FOUND = "not_found"
+    STATUS = "status"
+    WRONG_REVISION = "wrong_revision"
+    UNSTABLE = "unstable"
+
+
+class PlatformError(msgspec.Struct, frozen=True):
+    """Carry one fault with a line of text for the log."""
+
+    fault: PlatformFault
+    message: str
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """Hold the revision of the folder and the revision of each file."""
+
+    revision: int
+    files: dict[str, int]
+
+
+class Value(msgspec.Struct, frozen=True):
+    """Hold one value and the revision that wrote it."""
+
+    content: bytes
+    revision: int
+
+
+class WatchAnswer(msgspec.Struct, frozen=True):
+    """Hold the folder's revision at the end of a watch."""
+
+    revision: int
+
+
+class Vm(msgspec.Struct, frozen=True):
+    """Describe one VM; `state` is `live` or `leaving`."""
+
+    name: str
+    role: str
+    address: str
+    failure_domain: str
+    state: str
+
+
+class VmList(msgspec.Struct, frozen=True):
+    """Hold the platform's list of VMs, which lags behind."""
+
+    revision: int
+    vms: tuple[Vm, ...]
+
+
+class Folder(msgspec.Struct, frozen=True):
+    """Hold a consistent copy of the folder; names are without the prefix."""
+
+    revision: int
+    values: dict[str, Value]
+
+    @property
+    def files(self) -> dict[str, bytes]:
+        """Return the content of each file by name."""
+        return {name: value.content for name, value in self.values.items()}
+
+
+class PlatformClient(Protocol):
+    """Read and watch the platform; expected faults are values, never exceptions."""
+
+    async def list_files(self, prefix: str) -> Result[Listing, PlatformError]:
+        """List the names under a prefix; names in the answer include the prefix."""
+        ...
+
+    async def read(self, name: str) -> Result[Value, PlatformError]:
+        """Read one value of up to `MAX_VALUE_BYTES`."""
+        ...
+
+    async def watch(
+        self, prefix: str, from_revision: int, wait_s: float
+    ) -> Result[WatchAnswer, PlatformError]:
+        """Wait up to `wait_s` seconds for a revision above `from_revision`."""
+        ...
+
+    async def vms(self) -> Result[VmList, PlatformError]:
+        """List the live and leaving VMs."""
+        ...
+
+
+class HttpPlatformClient:
+    """Call the platform over HTTP; use it as an asynchronous context manager.
+
+    `timeout_s` bounds each call from connect to the last byte, in seconds. Every call
+    opens a connection, because an idle one may have gone silent without notice and the
+    few readers make few calls.
+    """
+
+    __slots__ = ("_base", "_session", "_timeout_s")
+
+    def __init__(self, base_url: str, timeout_s: float = 2.0) -> None:
+        self._base = base_url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Self:
+        """Open the session."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the session."""
+        await self.close()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def list_files(self, prefix: str) -> Result[Listing, PlatformError]:
+        """List the names under a prefix; names in the answer include the prefix."""
+        path = f"/v1/list?prefix={quote(prefix, safe='')}"
+        return await self._decode(path, Listing, self._timeout_s)
+
+    async def read(self, name: str) -> Result[Value, PlatformError]:
+        """Read one value of up to `MAX_VALUE_BYTES`."""
+        path = f"/v1/keys/{quote(name)}"
+        match await self._get(path, MAX_VALUE_BYTES, self._timeout_s):
+            case Result(tag="ok", ok=(content, header)):
+                if header is None or not header.isascii() or not header.isdigit():
+                    return _error(PlatformFault.INVALID, "X-Revision is not a number")
+                if len(header) > 18:
+                    return _error(PlatformFault.INVALID, "X-Revision is out of range")
+                return Ok(Value(content, int(header)))
+            case Result(error=error):
+                return Error(error)
+
+    async def watch(
+        self, prefix: str, from_revision: int, wait_s: float
+    ) -> Result[WatchAnswer, PlatformError]:
+        """Wait up to `wait_s` seconds for a revision above `from_revision`."""
+        query = f"prefix={quote(prefix, safe='')}&from={from_revision}&wait_s={wait_s}"
+        path = f"/v1/watch?{query}"
+        timeout_s = wait_s + min(WATCH_MARGIN_S, self._timeout_s)
+        return await self._decode(path, WatchAnswer, timeout_s)
+
+    async def vms(self) -> Result[VmList, PlatformError]:
+        """List the live and leaving VMs."""
+        return await self._decode("/v1/vms", VmList, self._timeout_s)
+
+    async def _decode(
+        self, path: str, kind: type[T], timeout_s: float
+    ) -> Result[T, PlatformError]:
+        match await self._get(path, MAX_LISTING_BYTES, timeout_s):
+            case Result(tag="ok", ok=(content, _)):
+                try:
+                    return Ok(msgspec.json.decode(content, type=kind))
+                except (msgspec.MsgspecError, RecursionError, ValueError) as error:
+                    return _error(PlatformFault.INVALID, f"{path}: {error}")
+            case Result(error=error):
+                return Error(error)
+
+    async def _get(
+        self, path: str, limit: int, timeout_s: float
+    ) -> Result[tuple[bytes, str | None], PlatformError]:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(force_close=True, limit=16),
+                # The size bound must hold for what arrives, so nothing is inflated.
+                auto_decompress=False,
+                headers={"Accept-Encoding": "identity"},
+                timeout=aiohttp.ClientTimeout(total=None),
+            )
+        url = URL(self._base + path, encoded=True)
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self._session.get(url, allow_redirects=False) as response,
+            ):
+                if response.status == 404:
+                    return _error(PlatformFault.NOT_FOUND, path)
+                if response.status != 200:
+                    text = f"{path}: HTTP status {response.status}"
+                    return _error(PlatformFault.STATUS, text)
+                content = bytearray()
+                async for chunk in response.content.iter_any():
+                    content += chunk
+                    if len(content) > limit:
+                        text = f"{path}: more than {limit} bytes"
+                        return _error(PlatformFault.TOO_LARGE, text)
+                return Ok((bytes(content), response.headers.get("X-Revision")))
+        except TimeoutError:
+            return _error(PlatformFault.TIMEOUT, f"{path}: no answer in {timeout_s} s")
+        except aiohttp.ClientConnectorError as error:
+            return _error(PlatformFault.UNREACHABLE, f"{path}: {error}")
+        except aiohttp.ClientPayloadError as error:
+            return _error(PlatformFault.TRUNCATED, f"{path}: {error}")
+        except (aiohttp.ServerDisconnectedError, aiohttp.ClientOSError) as error:
+            return _error(PlatformFault.RESET, f"{path}: {error}")
+        except OSError as error:
+            return _error(PlatformFault.RESET, f"{path}: {error}")
+        except (aiohttp.ClientError, ValueError) as error:
+            return _error(PlatformFault.INVALID, f"{path}: {error}")
+
+
+async def read_folder(
+    client: PlatformClient,
+    prefix: str,
+    held: Mapping[str, Value],
+    tries: int = FOLDER_TRIES,
+) -> Result[Folder, PlatformError]:
+    """Read the folder until its revision stands still, for at most `tries` rounds.
+
+    `held` are the values of the last read, by name without the prefix; a file with the
+    same revision is not read again. Values read in one round are kept for the next.
+    """
+    values = dict(held)
+    listed = await client.list_files(prefix)
+    for _ in range(tries):
+        if listed.is_error():
+            return Error(listed.error)
+        listing = listed.ok
+        wanted: dict[str, int] = {}
+        for key, revision in listing.files.items():
+            if not key.startswith(prefix) or revision > listing.revision:
+                text = f"{key} at revision {revision} in a list at {listing.revision}"
+                return _error(PlatformFault.INVALID, text)
+            wanted[key.removeprefix(prefix)] = revision
+        values = {name: value for name, value in values.items() if name in wanted}
+        failed = await _read_changed(client, prefix, wanted, values)
+        if failed is not None:
+            return Error(failed)
+        before, listed = listing, await client.list_files(prefix)
+        if listed.is_ok() and listed.ok == before:
+            # A file that vanished or moved on between list and read shows here.
+            current = {name: value.revision for name, value in values.items()}
+            if current == wanted:
+                return Ok(Folder(before.revision, values))
+        elif listed.is_ok() and listed.ok.revision < before.revision:
+            text = f"revision {listed.ok.revision} after {before.revision}"
+            return _error(PlatformFault.WRONG_REVISION, text)
+    return _error(PlatformFault.UNSTABLE, f"{prefix} changed in each of {tries} reads")
+
+
+async def _read_changed(
+    client: PlatformClient,
+    prefix: str,
+    wanted: Mapping[str, int],
+    values: dict[str, Value],
+) -> PlatformError | None:
+    total = sum(len(value.content) for value in values.values())
+    for name, revision in wanted.items():
+        known = values.get(name)
+        if known is not None and known.revision == revision:
+            continue
+        match await client.read(prefix + name):
+            case Result(tag="ok", ok=value):
+                if value.revision < revision:
+                    text = f"{name} at {value.revision}, listed at {revision}"
+                    return PlatformError(PlatformFault.WRONG_REVISION, text)
+                total += len(value.content) - (len(known.content) if known else 0)
+                if total > MAX_FOLDER_BYTES:
+                    text = f"more than {MAX_FOLDER_BYTES} bytes in all"
+                    return PlatformError(PlatformFault.TOO_LARGE, text)
+                values[name] = value
+            case Result(error=error):
+                if error.fault is not PlatformFault.NOT_FOUND:
+                    return error
+                values.pop(name, None)
+    return None
+
+
+def _error(fault: PlatformFault, message: str) -> Result[T, PlatformError]:
+    return Error(PlatformError(fault, message))
