--- /dev/null
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/check.py
@@ -0,0 +1,31 @@
+"""Check a folder before it is published."""
+
+from pathlib import Path
+
+from dandelionpond.config.merge import Merged
+from dandelionpond_ctl.folder import FINDINGS, OK, load, print_json, print_table
+
+
+def check(directory: Path, /, *, json: bool = False) -> int:
+    """Check a folder and report every error with its file, path and reason.
+
+    Parameters
+    ----------
+    directory
+        Folder of published files.
+    json
+        Print JSON in place of text.
+    """
+    loaded = load(directory)
+    if isinstance(loaded, Merged):
+        if json:
+            print_json({"ok": True, "digest": loaded.digest, "errors": []})
+        else:
+            print(f"ok {loaded.digest}")
+        return OK
+    if json:
+        print_json({"ok": False, "digest": None, "errors": loaded})
+    else:
+        rows = [(error.file, error.path, error.reason) for error in loaded]
+        print_table(("file", "path", "reason"), rows)
+    return FINDINGS
--- /dev/null
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/render.py
@@ -0,0 +1,48 @@
+"""Print the merged state of a folder."""
+
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from dandelionpond.config.check import join
+from dandelionpond_ctl.folder import OK, load_valid, print_json, print_table
+
+
+def render(directory: Path, /, *, json: bool = False) -> int:
+    """Print the merged state, its hash and the file that each value comes from.
+
+    Parameters
+    ----------
+    directory
+        Folder of published files.
+    json
+        Print JSON in place of a table.
+    """
+    merged = load_valid(directory)
+    if json:
+        print_json(
+            {
+                "digest": merged.digest,
+                "settings": merged.document,
+                "origins": merged.origins,
+            }
+        )
+        return OK
+    print(f"digest {merged.digest}")
+    rows = [
+        (path, msgspec.json.encode(value).decode(), merged.origins.get(path, ""))
+        for path, value in sorted(leaves(merged.document))
+    ]
+    print_table(("path", "value", "file"), rows)
+    return OK
+
+
+def leaves(value: Any, path: str = "") -> Iterator[tuple[str, Any]]:
+    """Yield the path and value of each leaf; an empty object is a leaf."""
+    if isinstance(value, dict) and value:
+        for key, item in value.items():
+            yield from leaves(item, join(path, key))
+    else:
+        yield path, value
