--- a/packages/dandelionpond/src/dandelionpond/limits/limiter.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/limiter.py
@@ -1,6 +1,7 @@
 """Admit requests by client account, in tokens and concurrency."""
 
 import math
+from collections.abc import Collection
 
 import msgspec
 
@@ -64,21 +65,29 @@
         A bucket keeps its level, bounded by its new size, so that a changed share
         gives nothing away.
         """
-        none = Share(0.0, 0)
-        for name in [name for name in self._buckets if name not in limits]:
+        self.retain(limits)
+        for name, value in limits.items():
+            self.set_share(name, value, shares.get(name, Share(0.0, 0)), now)
+
+    def set_share(
+        self, account: str, limits: AccountLimits, share: Share, now: float
+    ) -> None:
+        """Set the limits and this node's share of them for one account."""
+        bucket = self._buckets.get(account)
+        if bucket is None:
+            self._buckets[account] = _Bucket(limits, share, now)
+            return
+        _refill(bucket, now)
+        bucket.limits, bucket.share = limits, share
+        bucket.level = min(bucket.level, bucket.size)
+
+    def retain(self, accounts: Collection[str]) -> None:
+        """Forget accounts that are not named and have no request in flight."""
+        for name in [name for name in self._buckets if name not in accounts]:
             if not self._buckets[name].in_flight:
                 del self._buckets[name]
             else:
-                self._buckets[name].share = none
-        for name, value in limits.items():
-            share = shares.get(name, none)
-            bucket = self._buckets.get(name)
-            if bucket is None:
-                self._buckets[name] = _Bucket(value, share, now)
-                continue
-            _refill(bucket, now)
-            bucket.limits, bucket.share = value, share
-            bucket.level = min(bucket.level, bucket.size)
+                self._buckets[name].share = Share(0.0, 0)
 
     def configure(self, settings: LimitsSettings) -> None:
         """Take new settings from the next event on."""
--- a/packages/dandelionpond/src/dandelionpond/membership/peers.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/peers.py
@@ -121,6 +121,18 @@
             and domain in (None, peer.domain)
         ]
 
+    def peer(self, name: str) -> Peer | None:
+        """Return what is known of a peer; the caller must not change it."""
+        return self._table.get(name)
+
+    def configure(self, settings: MembershipSettings) -> None:
+        """Take new settings from the next event on; bounds of tables stay."""
+        self._settings = settings
+
+    def message_for(self, receiver: str) -> Exchange:
+        """Return a request to a peer outside the periodic gossip."""
+        return self._message(receiver, is_full=True, is_request=True)
+
     def settings_changed(self, revision: int, digest: str, now: float) -> None:
         """Carry a new settings revision in messages and relay it at once."""
         self._settings_version = (revision, digest)
--- a/packages/dandelionpond/src/dandelionpond/membership/upstreams.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/upstreams.py
@@ -99,6 +99,10 @@
             if entry.state is UpstreamState.LIVE and domain in (None, entry.domain)
         ]
 
+    def configure(self, settings: MembershipSettings) -> None:
+        """Take new settings from the next event on."""
+        self._settings = settings
+
     def configured(self, upstreams: Mapping[str, str]) -> list[UpstreamAction]:
         """Take in the published settings: the failure domain of each upstream.
 
--- a/packages/dandelionpond/src/dandelionpond/runtime/distribution.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/distribution.py
@@ -5,7 +5,7 @@
 
 from dandelionpond.adapters.platform import Folder, PlatformClient, Value, read_folder
 from dandelionpond.config.distribution import Distribution
-from dandelionpond.config.keeper import Accepted, Refused, content_hash
+from dandelionpond.config.keeper import Accepted, FileContent, ManifestEntry, Refused
 from dandelionpond.config.messages import (
     Action,
     Announce,
@@ -118,12 +118,11 @@
             self.handle(WatchAnswered(call, result.ok.revision))
 
     async def _fetch(self, call: int, peer: str) -> None:
-        keeper = self._core.keeper
         address = self._address_of(peer)
         if address is None:
             self.handle(PeerFailed(call))
             return
-        held = tuple(sorted({entry.hash for entry in keeper.manifest()}))
+        held = self._core.keeper.held_hashes()
         request = FetchRequest(self._core.identity, held)
         result = await self._peers.fetch_settings(address, request)
         files = self._assemble(result.ok) if result.is_ok() else None
@@ -135,14 +134,14 @@
 
     def _assemble(self, reply: FetchReply) -> dict[str, bytes] | None:
         """Return all files of a reply, or None if one lacks or has other bytes."""
-        held = self._core.keeper.contents()
-        files: dict[str, bytes] = {}
-        for file in reply.files:
-            content = held.get(file.hash) if file.content is None else file.content
-            if content is None or content_hash(content) != file.hash:
-                return None
-            files[file.name] = content
-        return files
+        manifest = [ManifestEntry(file.name, file.hash, 0) for file in reply.files]
+        received = [
+            FileContent(file.name, file.hash, file.content)
+            for file in reply.files
+            if file.content is not None
+        ]
+        result = self._core.keeper.assemble(manifest, received)
+        return result.ok if result.is_ok() else None
 
     def _keep(self, call: int, revision: int, files: dict[str, bytes]) -> None:
         self._folders[call] = (revision, files)
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/runtime/gossip.py
@@ -0,0 +1,253 @@
+"""Exchange membership, upstream states, demand and grants with peers."""
+
+import asyncio
+import logging
+from typing import Protocol
+
+from dandelionpond.config.distribution import Distribution
+from dandelionpond.config.messages import Event, Peer, PeerRevision, PeersChanged
+from dandelionpond.config.schema import Settings
+from dandelionpond.limits.shares import DemandReport, Grant as ShareGrant
+from dandelionpond.membership.messages import (
+    Action,
+    Exchange,
+    PeerChanged,
+    PeerState,
+    PlatformList,
+    SendExchange,
+    Spread,
+    Superseded,
+    UpstreamAction,
+    UpstreamChanged,
+    UpstreamHeard,
+    Vm,
+)
+from dandelionpond.membership.peers import Membership
+from dandelionpond.membership.upstreams import UpstreamView
+from dandelionpond.peer.client import PeerClient
+from dandelionpond.peer.messages import Demand, Grant, PeerMessage
+from dandelionpond.runtime.accounts import Accounts
+from dandelionpond.runtime.core import Core
+
+log = logging.getLogger("dandelionpond.membership")
+
+TICK_S = 0.05
+UPSTREAM_TICK_S = 1.0
+
+
+class SettingsEvents(Protocol):
+    """Take events about settings."""
+
+    distribution: Distribution
+
+    def handle(self, event: Event) -> None:
+        """Report an event."""
+        ...
+
+
+class UpstreamListener(Protocol):
+    """Hear of changed upstream states."""
+
+    def upstream_changed(self, change: UpstreamChanged) -> None:
+        """Take a new state of an upstream."""
+        ...
+
+
+class Gossip:
+    """Drive `Membership` and `UpstreamView` over gRPC."""
+
+    def __init__(self, core: Core, peers: PeerClient, accounts: Accounts) -> None:
+        local, settings = core.local, core.settings
+        self._core = core
+        self._peers = peers
+        self._accounts = accounts
+        self._demands: dict[str, tuple[float, tuple[Demand, ...]]] = {}
+        self.settings_events: SettingsEvents | None = None
+        self.listeners: list[UpstreamListener] = []
+        self.membership = Membership(
+            core.identity,
+            local.peer_address,
+            local.failure_domain,
+            settings.membership,
+            core.random,
+            core.now(),
+        )
+        self.upstreams = UpstreamView(
+            local.name, local.failure_domain, settings.membership
+        )
+        self._addresses = {seed.name: seed.peer_address for seed in local.seeds}
+        core.on_settings.append(self._configure)
+
+    def start(self) -> None:
+        """Meet the seeds and start the timers."""
+        tasks = self._core.tasks
+        for seed in self._core.local.seeds:
+            tasks.spawn(self._meet(seed.name, seed.peer_address), "meet-seed")
+        tasks.every(lambda: TICK_S, self._tick, "gossip")
+        tasks.every(lambda: UPSTREAM_TICK_S, self._upstream_tick, "upstream-states")
+
+    def address_of(self, name: str) -> str | None:
+        """Return the peer address of a node, or None if it is unknown."""
+        peer = self.membership.peer(name)
+        if peer is not None and peer.address:
+            return peer.address
+        return self._addresses.get(name)
+
+    def announce(self, revision: int, digest: str) -> None:
+        """Tell peers of a new settings revision at once."""
+        self.membership.settings_changed(revision, digest, self._core.now())
+
+    def leave(self) -> None:
+        """Tell peers that this node is leaving."""
+        self._perform(self.membership.leaving())
+
+    def platform_list(self, revision: int, vms: tuple[Vm, ...]) -> None:
+        """Take in the platform's list of VMs."""
+        listed = PlatformList(revision, vms)
+        now = self._core.now()
+        self._perform(self.membership.platform_list(listed, now))
+        self._perform_upstream(self.upstreams.platform_list(listed, now))
+        self._peers_changed()
+
+    def upstream_answered(self, upstream: str, is_leaving: bool) -> None:
+        """Take in what an upstream's own answer says of it."""
+        now = self._core.now()
+        self._perform_upstream(self.upstreams.answered(upstream, is_leaving, now))
+
+    def upstream_suspected(self, upstream: str) -> None:
+        """Raise this node's suspicion of an upstream."""
+        now = self._core.now()
+        self._perform_upstream(self.upstreams.suspected(upstream, now))
+
+    def upstream_trusted(self, upstream: str) -> None:
+        """Withdraw this node's suspicion of an upstream."""
+        now = self._core.now()
+        self._perform_upstream(self.upstreams.trusted(upstream, now))
+
+    async def exchange(self, message: PeerMessage) -> PeerMessage:
+        """Answer an exchange of a peer."""
+        self._received(message.exchange, is_reply=False)
+        grants = self._accounts.demanded(
+            message.exchange.sender.name,
+            [
+                DemandReport(one.account, one.tokens_per_s, one.concurrency)
+                for one in message.demands
+            ],
+        )
+        return PeerMessage(
+            self.membership.reply_to(message.exchange),
+            grants=tuple(
+                Grant(one.account, one.tokens_per_s, one.concurrency, one.ttl_s)
+                for one in grants
+            ),
+        )
+
+    def _configure(self, settings: Settings) -> None:
+        self.membership.configure(settings.membership)
+        self.upstreams.configure(settings.membership)
+        domains = {
+            name: upstream.failure_domain
+            for name, upstream in settings.upstreams.items()
+        }
+        self._perform_upstream(self.upstreams.configured(domains))
+
+    async def _tick(self) -> None:
+        now = self._core.now()
+        for demand in self._accounts.due_demands():
+            address = self.address_of(demand.to)
+            if address is not None:
+                reports = tuple(
+                    Demand(one.account, one.tokens_per_s, one.concurrency)
+                    for one in demand.reports
+                )
+                message = PeerMessage(
+                    self.membership.message_for(demand.to), demands=reports
+                )
+                self._core.tasks.spawn(
+                    self._send(demand.to, address, message), "send-demand"
+                )
+        self._perform(self.membership.tick(now))
+
+    async def _upstream_tick(self) -> None:
+        self._perform_upstream(self.upstreams.tick(self._core.now()))
+
+    async def _meet(self, name: str, address: str) -> None:
+        """Exchange with a seed until it answers or becomes known otherwise."""
+        while self.membership.state_of(name) is None:
+            message = PeerMessage(self.membership.message_for(name))
+            await self._send(name, address, message)
+            if self.membership.state_of(name) is None:
+                interval = self._core.settings.membership.heartbeat_interval_s
+                await asyncio.sleep(interval * (1 + self._core.random.random()))
+
+    async def _send(self, name: str, address: str, message: PeerMessage) -> None:
+        asked_at = self._core.now()
+        result = await self._peers.exchange(name, address, message)
+        if result.is_error():
+            self._perform(self.membership.exchange_failed(name, self._core.now()))
+            return
+        self._received(result.ok.exchange, is_reply=True)
+        for one in result.ok.grants:
+            grant = ShareGrant(
+                one.account, one.tokens_per_s, int(one.concurrency), one.ttl_s
+            )
+            self._accounts.granted(name, grant, asked_at)
+
+    def _received(self, exchange: Exchange, is_reply: bool) -> None:
+        now = self._core.now()
+        self._perform(self.membership.received(exchange, now, is_reply))
+        if self.settings_events is not None and exchange.settings_revision:
+            event = PeerRevision(
+                exchange.sender.name,
+                exchange.settings_revision,
+                exchange.settings_digest,
+            )
+            self.settings_events.handle(event)
+
+    def _perform(self, actions: list[Action]) -> None:
+        changed = False
+        for action in actions:
+            match action:
+                case SendExchange(peer, address, message):
+                    self._core.tasks.spawn(
+                        self._send(peer, address, PeerMessage(message)), "exchange"
+                    )
+                case PeerChanged(peer, state):
+                    changed = True
+                    if state is not PeerState.LIVE:
+                        log.info("peer changed", extra={"peer": peer, "state": state})
+                case UpstreamHeard(rumor):
+                    now = self._core.now()
+                    self._perform_upstream(self.upstreams.heard(rumor, now))
+                case Superseded(started_ms):
+                    log.error(
+                        "peers know a later incarnation of this node's name",
+                        extra={"started_ms": started_ms},
+                    )
+        if changed:
+            self._peers_changed()
+
+    def _peers_changed(self) -> None:
+        local = self._core.local
+        live = tuple(
+            Peer(peer.name, peer.domain)
+            for peer in self.membership.peers
+            if peer.state is PeerState.LIVE
+        )
+        names = tuple(self.membership.names(local.failure_domain))
+        self._accounts.set_members(names)
+        if self.settings_events is not None:
+            self.settings_events.handle(PeersChanged(live))
+
+    def _perform_upstream(self, actions: list[UpstreamAction]) -> None:
+        for action in actions:
+            match action:
+                case Spread(rumor):
+                    self.membership.spread(rumor, self._core.now())
+                case UpstreamChanged():
+                    log.info(
+                        "upstream changed",
+                        extra={"upstream": action.upstream, "state": action.state},
+                    )
+                    for listener in self.listeners:
+                        listener.upstream_changed(action)
--- a/packages/dandelionpond/src/dandelionpond/runtime/tasks.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/tasks.py
@@ -32,13 +32,19 @@
         return task
 
     def every(
-        self, interval_s: Callable[[], float], work: Callable[[], Awaitable[None]], name: str
+        self,
+        interval_s: Callable[[], float],
+        work: Callable[[], Awaitable[None]],
+        name: str,
     ) -> asyncio.Task[Any]:
         """Run a function again and again, with a pause between two runs."""
         return self.spawn(self._repeat(interval_s, work, name), name)
 
     async def _repeat(
-        self, interval_s: Callable[[], float], work: Callable[[], Awaitable[None]], name: str
+        self,
+        interval_s: Callable[[], float],
+        work: Callable[[], Awaitable[None]],
+        name: str,
     ) -> None:
         while True:
             try:
