Add the gRPC server and client between nodes

A call is started only on a connected channel, so a failure before that is certainly not sent; a call queued inside the library could leave at any later time. A deadline or broken connection retires the channel.

--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/peer/client.py
@@ -0,0 +1,250 @@
+"""Call peers over gRPC."""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import grpc
+import msgspec
+from expression import Error, Ok, Result
+
+from dandelionpond.errors import ErrorKind, Failure
+from dandelionpond.peer import peer_pb2_grpc, translate
+from dandelionpond.peer.messages import (
+    CallOutcome,
+    FetchReply,
+    FetchRequest,
+    ForwardedCall,
+    PeerMessage,
+)
+from dandelionpond.peer.settings import PeerSettings, channel_options
+
+T = TypeVar("T")
+
+
+class CallFailure(msgspec.Struct, frozen=True):
+    """Carry the failure of a forwarded call.
+
+    `may_have_left` is false only if the call certainly never reached the socket.
+    """
+
+    failure: Failure
+    may_have_left: bool
+
+
+class _Channel:
+    __slots__ = ("address", "calls", "channel", "is_retired", "stub")
+
+    def __init__(self, address: str, settings: PeerSettings) -> None:
+        self.address = address
+        self.channel = grpc.aio.insecure_channel(
+            address, options=channel_options(settings)
+        )
+        self.stub: Any = peer_pb2_grpc.PeerStub(self.channel)  # type: ignore[no-untyped-call]
+        self.calls = 0
+        self.is_retired = False
+
+
+class PeerClient:
+    """Call peers on at most `max_channels` channels; the least recent closes first.
+
+    Channels with calls in flight are not closed: they are retired and close after their
+    last call, each of which has a deadline. After a deadline or a broken connection the
+    next call to that peer uses a new channel, because a connection can stay open and
+    silent for ever. Counters are in `counts`.
+    """
+
+    __slots__ = ("_channels", "_closing", "_settings", "counts")
+
+    def __init__(self, settings: PeerSettings) -> None:
+        self._settings = settings
+        self._channels: OrderedDict[str, _Channel] = OrderedDict()
+        self._closing: set[asyncio.Task[None]] = set()
+        self.counts = {
+            "opened": 0,
+            "evicted": 0,
+            "replaced": 0,
+            "deadlines": 0,
+            "invalid": 0,
+            "wrong_peer": 0,
+        }
+
+    @property
+    def open_channels(self) -> int:
+        """Return the number of channels kept for further calls."""
+        return len(self._channels)
+
+    async def exchange(
+        self, peer: str, address: str, message: PeerMessage
+    ) -> Result[PeerMessage, Failure]:
+        """Exchange with a peer; an answer of another node is a failure."""
+        settings = self._settings
+        outcome = await self._call(
+            address,
+            "Exchange",
+            translate.message_to(message),
+            settings.exchange_timeout_s,
+            settings.max_exchange_bytes,
+            translate.message_from,
+        )
+        match outcome:
+            case Result(tag="ok", ok=reply):
+                found = reply.exchange.sender.name
+                if found != peer:
+                    self.counts["wrong_peer"] += 1
+                    text = f"address of peer {peer} was answered by {found}"
+                    return Error(Failure(ErrorKind.UPSTREAM_INVALID, text))
+                return Ok(reply)
+            case Result(error=error):
+                return Error(error.failure)
+
+    async def fetch_settings(
+        self, address: str, request: FetchRequest
+    ) -> Result[FetchReply, Failure]:
+        """Fetch the published files that this node does not hold."""
+        outcome = await self._call(
+            address,
+            "FetchSettings",
+            translate.fetch_request_to(request),
+            self._settings.fetch_timeout_s,
+            self._settings.max_fetch_bytes,
+            translate.fetch_reply_from,
+        )
+        return outcome.map_error(lambda error: error.failure)
+
+    async def forward_call(
+        self, address: str, call: ForwardedCall
+    ) -> Result[CallOutcome, CallFailure]:
+        """Forward a ticketed call to its issuer within `call.remaining_s`."""
+        if call.remaining_s <= 0:
+            text = "the deadline passed before the call was forwarded"
+            failure = Failure(ErrorKind.DEADLINE_BEFORE_SEND, text)
+            return Error(CallFailure(failure, may_have_left=False))
+        return await self._call(
+            address,
+            "ForwardCall",
+            translate.call_to(call),
+            call.remaining_s,
+            self._settings.max_call_bytes,
+            translate.outcome_from,
+            is_forwarded=True,
+        )
+
+    async def close(self) -> None:
+        """Close all channels; calls in flight are cancelled."""
+        for channel in list(self._channels.values()):
+            await channel.channel.close()
+        self._channels.clear()
+        if self._closing:
+            await asyncio.gather(*self._closing)
+
+    async def _call(
+        self,
+        address: str,
+        method: str,
+        request: Any,
+        timeout_s: float,
+        limit: int,
+        convert: Callable[[Any], T],
+        is_forwarded: bool = False,
+    ) -> Result[T, CallFailure]:
+        if request.ByteSize() > limit:
+            failure = Failure(ErrorKind.BODY_TOO_LARGE, "message to peer is too large")
+            return Error(CallFailure(failure, may_have_left=False))
+        channel = self._channel(address)
+        channel.calls += 1
+        connected = False
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        try:
+            # Without a connection nothing can have left. A call that is waiting for a
+            # connection could leave at any later time, so it is not started before.
+            async with asyncio.timeout_at(deadline):
+                connected = await _connected(channel.channel)
+            if not connected:
+                self._retire(channel)
+                text = f"no connection to peer at {address}"
+                return Error(_failure(text, is_forwarded, False, False))
+            remaining = max(deadline - loop.time(), 0.001)
+            reply = await getattr(channel.stub, method)(request, timeout=remaining)
+            if reply.ByteSize() > limit:
+                raise ValueError("reply is too large")
+            return Ok(convert(reply))
+        except TimeoutError:
+            self.counts["deadlines"] += 1
+            self._retire(channel)
+            text = f"no connection to peer at {address} within {timeout_s} s"
+            return Error(_failure(text, is_forwarded, False, True))
+        except ValueError as error:
+            self.counts["invalid"] += 1
+            text = f"invalid answer of peer at {address}: {error}"
+            failure = Failure(ErrorKind.UPSTREAM_INVALID, text)
+            return Error(CallFailure(failure, may_have_left=True))
+        except grpc.aio.AioRpcError as error:
+            code = error.code()
+            is_deadline = code is grpc.StatusCode.DEADLINE_EXCEEDED
+            self.counts["deadlines"] += is_deadline
+            self._retire(channel)
+            text = f"call to peer at {address} failed: {code.name}"
+            return Error(_failure(text, is_forwarded, True, is_deadline))
+        finally:
+            channel.calls -= 1
+            if channel.is_retired and not channel.calls:
+                self._close(channel)
+
+    def _channel(self, address: str) -> _Channel:
+        channel = self._channels.get(address)
+        if channel is not None:
+            self._channels.move_to_end(address)
+            return channel
+        if len(self._channels) >= self._settings.max_channels:
+            self._retire(next(iter(self._channels.values())))
+            self.counts["evicted"] += 1
+            self.counts["replaced"] -= 1
+        channel = self._channels[address] = _Channel(address, self._settings)
+        self.counts["opened"] += 1
+        return channel
+
+    def _retire(self, channel: _Channel) -> None:
+        if channel.is_retired:
+            return
+        channel.is_retired = True
+        self.counts["replaced"] += 1
+        self._channels.pop(channel.address, None)
+        if not channel.calls:
+            self._close(channel)
+
+    def _close(self, channel: _Channel) -> None:
+        task = asyncio.get_running_loop().create_task(channel.channel.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+
+async def _connected(channel: grpc.aio.Channel) -> bool:
+    state = channel.get_state(try_to_connect=True)
+    while state is not grpc.ChannelConnectivity.READY:
+        if state in (
+            grpc.ChannelConnectivity.TRANSIENT_FAILURE,
+            grpc.ChannelConnectivity.SHUTDOWN,
+        ):
+            return False
+        await channel.wait_for_state_change(state)
+        state = channel.get_state(try_to_connect=True)
+    return True
+
+
+def _failure(
+    text: str, is_forwarded: bool, may_have_left: bool, is_deadline: bool
+) -> CallFailure:
+    if not may_have_left:
+        kind = ErrorKind.UPSTREAM_UNREACHABLE
+        if is_deadline:
+            kind = ErrorKind.DEADLINE_BEFORE_SEND
+    elif is_forwarded:
+        kind = ErrorKind.ISSUER_UNREACHABLE
+    else:
+        kind = (
+            ErrorKind.DEADLINE_AFTER_SEND if is_deadline else ErrorKind.UPSTREAM_FAILED
+        )
+    return CallFailure(Failure(kind, text), may_have_left)
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/peer/server.py
@@ -0,0 +1,100 @@
+"""Serve the calls of peers over gRPC."""
+
+from typing import Any, Protocol
+
+import grpc
+from google.protobuf.message import Message
+
+from dandelionpond.peer import peer_pb2_grpc, translate
+from dandelionpond.peer.messages import (
+    CallOutcome,
+    FetchReply,
+    FetchRequest,
+    ForwardedCall,
+    PeerMessage,
+)
+from dandelionpond.peer.settings import PeerSettings, channel_options
+
+
+class PeerHandler(Protocol):
+    """Answer the calls of peers; an exception becomes the gRPC status UNKNOWN."""
+
+    async def exchange(self, message: PeerMessage) -> PeerMessage:
+        """Take in a peer's state and return this node's."""
+        ...
+
+    async def fetch_settings(self, request: FetchRequest) -> FetchReply:
+        """Return the files in force that the peer does not hold."""
+        ...
+
+    async def forward_call(self, call: ForwardedCall) -> CallOutcome:
+        """Run a call whose ticket this node issued and return its outcome."""
+        ...
+
+
+class _Servicer(peer_pb2_grpc.PeerServicer):
+    def __init__(self, handler: PeerHandler, settings: PeerSettings) -> None:
+        self._handler = handler
+        self._settings = settings
+        self.refused = 0
+
+    async def Exchange(self, request: Any, context: Any) -> Any:
+        limit = self._settings.max_exchange_bytes
+        message = await self._read(request, context, translate.message_from, limit)
+        return translate.message_to(await self._handler.exchange(message))
+
+    async def FetchSettings(self, request: Any, context: Any) -> Any:
+        limit = self._settings.max_call_bytes
+        message = await self._read(
+            request, context, translate.fetch_request_from, limit
+        )
+        return translate.fetch_reply_to(await self._handler.fetch_settings(message))
+
+    async def ForwardCall(self, request: Any, context: Any) -> Any:
+        limit = self._settings.max_call_bytes
+        call = await self._read(request, context, translate.call_from, limit)
+        return translate.outcome_to(await self._handler.forward_call(call))
+
+    async def _read(
+        self, request: Message, context: Any, convert: Any, limit: int
+    ) -> Any:
+        if request.ByteSize() > limit:
+            self.refused += 1
+            await context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, "message too large")
+        try:
+            return convert(request)
+        except ValueError as error:
+            self.refused += 1
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+
+
+class PeerServer:
+    """Listen for the calls of peers; port 0 lets the system choose."""
+
+    __slots__ = ("_address", "_server", "_servicer", "port")
+
+    def __init__(
+        self, handler: PeerHandler, address: str, settings: PeerSettings
+    ) -> None:
+        self._address = address
+        self._servicer = _Servicer(handler, settings)
+        self._server = grpc.aio.server(
+            options=channel_options(settings),
+            maximum_concurrent_rpcs=settings.max_concurrent_calls,
+        )
+        self.port = 0
+
+    @property
+    def refused(self) -> int:
+        """Return the number of requests refused as invalid or too large."""
+        return self._servicer.refused
+
+    async def start(self) -> None:
+        """Bind the address and serve; raise `RuntimeError` if it cannot be bound."""
+        peer_pb2_grpc.add_PeerServicer_to_server(self._servicer, self._server)
+        self.port = self._server.add_insecure_port(self._address)
+        await self._server.start()
+
+    async def stop(self, grace_s: float) -> None:
+        """Refuse new calls and wait up to `grace_s` seconds for those in flight."""
+        await self._server.stop(grace_s)
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/peer/settings.py
@@ -0,0 +1,35 @@
+"""Hold the local bounds of the calls between nodes."""
+
+import msgspec
+
+
+class PeerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Set time limits in seconds and bounds of calls between nodes.
+
+    A settings reply holds at most 64 MB of files, the bound of the revision in force.
+    """
+
+    exchange_timeout_s: float = 2.0
+    fetch_timeout_s: float = 30.0
+    max_channels: int = 64
+    max_exchange_bytes: int = 64 * 1024
+    max_call_bytes: int = 4 * 1024 * 1024
+    max_fetch_bytes: int = 72 * 1024 * 1024
+    max_concurrent_calls: int = 256
+
+
+def channel_options(settings: PeerSettings) -> list[tuple[str, int]]:
+    """Return the options of gRPC channels and servers.
+
+    Library retries are off because only the caller of `PeerClient` knows whether a
+    call may be repeated. Proxies from the environment are ignored.
+    """
+    return [
+        ("grpc.enable_retries", 0),
+        ("grpc.enable_http_proxy", 0),
+        ("grpc.max_receive_message_length", settings.max_fetch_bytes),
+        ("grpc.max_send_message_length", settings.max_fetch_bytes),
+        ("grpc.use_local_subchannel_pool", 1),
+        ("grpc.so_reuseport", 0),
+        ("grpc.max_connection_idle_ms", 300_000),
+    ]
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/peer/tests/test_translate.py
@@ -0,0 +1,60 @@
+"""Test the conversion between protobuf and typed messages."""
+
+import pytest
+from hypothesis import given, strategies as st
+
+from dandelionpond.identity import Identity
+from dandelionpond.membership.messages import Exchange, Rumor
+from dandelionpond.peer import peer_pb2 as pb
+from dandelionpond.peer.messages import Demand, Grant, PeerMessage
+from dandelionpond.peer.translate import message_from, message_to, outcome_from
+
+NUMBER = st.integers(0, 2**64 - 1)
+
+
+class TestMessages:
+    @given(NUMBER, NUMBER, NUMBER, st.text(max_size=9))
+    def test_round_trip(self, started_ms, nonce, heartbeat, text):
+        """Guard against a field that is lost between two nodes."""
+        rumor = Rumor("x", "node", text, started_ms, nonce, heartbeat, text, text, text)
+        message = PeerMessage(
+            Exchange(
+                Identity("a", started_ms, nonce),
+                text,
+                text,
+                "leaving",
+                heartbeat,
+                nonce,
+                text,
+                (rumor,),
+            ),
+            (Demand("acme", 1.5, 2.0),),
+            (Grant("acme", 1.5, 2.0, 3.0),),
+        )
+        assert message_from(message_to(message)) == message
+
+    @pytest.mark.parametrize(
+        "message",
+        [
+            pb.ExchangeMessage(),
+            pb.ExchangeMessage(state="serving"),
+            pb.ExchangeMessage(state="x", sender=pb.NodeId(name="a")),
+            pb.ExchangeMessage(
+                state="serving", sender=pb.NodeId(name="a"), rumors=[pb.Rumor()]
+            ),
+            pb.ExchangeMessage(
+                state="serving",
+                sender=pb.NodeId(name="a"),
+                demands=[pb.Demand(account="x", tokens_per_s=float("nan"))],
+            ),
+        ],
+    )
+    def test_invalid_messages_are_refused(self, message):
+        """Guard against wrong values that reach a decision slice."""
+        with pytest.raises(ValueError):
+            message_from(message)
+
+    def test_empty_outcome_is_refused(self):
+        """Guard against a truncated reply that is taken for an outcome."""
+        with pytest.raises(ValueError):
+            outcome_from(pb.CallReply())
