Add the engine client, its contract tests and a table of faults

The first expectation for a reset of a body without framing was wrong: the transport reports its end, and the missing end marker decides. The table now has both cases.

--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/adapters/engine_api.py
@@ -0,0 +1,214 @@
+"""Define what the node needs from an engine, independent of any wire format."""
+
+from collections.abc import AsyncIterator, Callable
+from typing import Literal, Protocol
+
+import msgspec
+from expression import Result
+
+from dandelionpond.errors import Failure
+from dandelionpond.memory.messages import Holding
+from dandelionpond.orders.messages import Change, EngineReport, Token
+
+
+class GroupPart(msgspec.Struct, frozen=True):
+    """Say that `parts` engines hold the prompt, this part under `reservation`."""
+
+    parts: int
+    reservation: str
+
+
+class EngineRequest(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Ask an engine for the tokens `from_offset` to `max_tokens - 1` of an answer.
+
+    A smaller `priority` is served first. `prompt_tokens` replaces the engine's own
+    count if it is above zero. The memory of the finished answer stays held for
+    `retain_s` seconds if that is above zero.
+    """
+
+    request_id: str
+    owner: str
+    model: str
+    max_tokens: int
+    version: str = ""
+    priority: int = 0
+    prompt: str = ""
+    prompt_tokens: int = 0
+    prefix_hashes: tuple[int, ...] = ()
+    from_offset: int = 0
+    expires_in_s: float = 30.0
+    retain_s: float = 0.0
+    group: GroupPart | None = None
+
+
+class Piece(msgspec.Struct, frozen=True):
+    """Carry `tokens` tokens of text that start at `offset`, as the engine named them.
+
+    `request_id` comes from the wire and may be another request's.
+    """
+
+    request_id: str
+    offset: int
+    tokens: int
+    text: str
+
+
+class End(msgspec.Struct, frozen=True):
+    """Report the end marker; `tokens` is the total from offset 0."""
+
+    request_id: str
+    tokens: int
+
+
+BrokenReason = Literal[
+    "connect_failed",
+    "refused",
+    "leaving",
+    "failed",
+    "reset",
+    "silent",
+    "truncated",
+    "invalid",
+    "too_large",
+    "deadline",
+]
+
+
+class Broken(msgspec.Struct, frozen=True):
+    """Report that a stream ended without an end marker.
+
+    `sent` says whether a byte of the request can have left this node.
+    """
+
+    reason: BrokenReason
+    failure: Failure
+    sent: bool
+
+
+StreamEvent = Piece | End | Broken
+
+
+class EngineLoad(msgspec.Struct, frozen=True):
+    """Report an engine's load as it was `age_s` seconds before the answer."""
+
+    age_s: float
+    queued_prefill_tokens: int
+    running_requests: int
+    waiting_requests: int
+    kv_tokens_used: int
+    kv_capacity_tokens: int
+    leaving: bool = False
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """Report prefix blocks that an engine stored or removed.
+
+    A missing `seq` means that the reader's view of this engine has a gap.
+    """
+
+    seq: int
+    action: Literal["stored", "removed"]
+    hashes: tuple[int, ...]
+
+
+class KvBlock(msgspec.Struct, frozen=True):
+    """Identify exported KV cache that another engine can import."""
+
+    export_id: str
+    model: str
+    tokens: int
+    prefix_hashes: tuple[int, ...]
+
+
+class EngineClient(Protocol):
+    """Talk to one engine. Every call ends within its `timeout_s` seconds.
+
+    A failed call is `not_run` only if no byte of it can have left.
+    """
+
+    def stream(
+        self,
+        request: EngineRequest,
+        timeout_s: float,
+        silence_s: float,
+        new_connection: bool = False,
+        on_sending: Callable[[], None] | None = None,
+    ) -> AsyncIterator[list[StreamEvent]]:
+        """Yield the events of an answer in batches; the last is an End or Broken.
+
+        `on_sending` is called before the first byte can leave. `silence_s` bounds the
+        time without any byte. Closing the iterator closes the connection; memory stays
+        held until `cancel` is confirmed.
+        """
+        ...
+
+    async def cancel(
+        self, holding_id: str, owner: str, timeout_s: float
+    ) -> Result[bool, Failure]:
+        """Free a stream or other holding; Ok means freed, true if it was held."""
+        ...
+
+    async def holdings(self, timeout_s: float) -> Result[list[Holding], Failure]:
+        """List everything that the engine holds; a partial list is an error."""
+        ...
+
+    async def renew(
+        self, holding_ids: tuple[str, ...], owner: str, ttl_s: float, timeout_s: float
+    ) -> Result[frozenset[str], Failure]:
+        """Move expiries and return the identifiers that the engine does not hold."""
+        ...
+
+    async def reserve(
+        self, holding_id: str, owner: str, tokens: int, ttl_s: float, timeout_s: float
+    ) -> Result[bool, Failure]:
+        """Reserve memory in tokens; false if there is not enough."""
+        ...
+
+    async def release(
+        self, holding_id: str, owner: str, timeout_s: float
+    ) -> Result[bool, Failure]:
+        """Free a reservation, an export or an import, as `cancel` does."""
+        ...
+
+    async def export_kv(
+        self,
+        holding_id: str,
+        owner: str,
+        model: str,
+        prefix_hashes: tuple[int, ...],
+        ttl_s: float,
+        timeout_s: float,
+    ) -> Result[KvBlock | None, Failure]:
+        """Hold the cached leading blocks for a transfer; None if none is cached."""
+        ...
+
+    async def import_kv(
+        self,
+        holding_id: str,
+        owner: str,
+        block: KvBlock,
+        ttl_s: float,
+        timeout_s: float,
+    ) -> Result[bool, Failure]:
+        """Store exported blocks; false if there is not enough memory."""
+        ...
+
+    async def cache_events(
+        self, from_seq: int, timeout_s: float
+    ) -> Result[list[CacheEvent], Failure]:
+        """Return cache events with `seq >= from_seq`, late and with gaps."""
+        ...
+
+    async def load(self, timeout_s: float) -> Result[EngineLoad, Failure]:
+        """Return the engine's lagging load report."""
+        ...
+
+    async def order(
+        self, token: Token, change: Change, timeout_s: float
+    ) -> Result[Token, Failure]:
+        """Send an order and return the greatest token that the engine has seen."""
+        ...
+
+    async def report(self, timeout_s: float) -> Result[EngineReport, Failure]:
+        """Return models, adapters and role of the engine."""
+        ...
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/adapters/tests/test_engine.py
@@ -0,0 +1,313 @@
+"""Test engine adapters against the contract and against a table of faults."""
+
+import asyncio
+import socket
+
+import pytest
+
+from dandelionpond.adapters.engine import EngineSessions, HttpEngineClient
+from dandelionpond.adapters.engine_api import (
+    Broken,
+    End,
+    EngineRequest,
+    GroupPart,
+    Piece,
+)
+from dandelionpond.adapters.sse import EventReader
+from dandelionpond.adapters.tests.engine_harness import (
+    HEAD,
+    RawServer,
+    ReferenceHarness,
+)
+from dandelionpond.errors import ErrorKind, Execution
+from dandelionpond.orders.messages import Change, Token
+from dandelionpond_standins.engine_model import EngineSpec
+from dandelionpond_standins.engine_text import expected_text
+
+# Add the harness of another adapter here; it runs through the same contract.
+HARNESSES = [ReferenceHarness]
+OWNER = "node-1/a"
+
+
+def ask(name="r", **fields):
+    fields = {"max_tokens": 8, "prompt": "hello", **fields}
+    return EngineRequest(name, OWNER, "m", **fields)
+
+
+async def collect(client, request, silence_s=5.0, **options):
+    return [
+        event
+        async for batch in client.stream(request, 10.0, silence_s, **options)
+        for event in batch
+    ]
+
+
+def text_of(events, name="r"):
+    """Join the pieces that continue the answer, as the assembly does."""
+    text, position = "", 0
+    for event in events:
+        if isinstance(event, Piece) and (event.request_id, event.offset) == (
+            name,
+            position,
+        ):
+            text += event.text
+            position += event.tokens
+    return text
+
+
+@pytest.fixture(params=HARNESSES)
+def harness(request):
+    return request.param
+
+
+class TestContract:
+    def test_answer_is_whole_and_resumes_at_an_offset(self, harness):
+        """Guard against lost text and against a resume that changes the text."""
+
+        async def run():
+            async with harness() as engine:
+                sent = []
+                events = await collect(
+                    engine.client, ask(), on_sending=lambda: sent.append(1)
+                )
+                assert sent == [1]
+                assert events[-1] == End("r", 8)
+                assert text_of(events) == expected_text("m", "v1", "hello", 8)
+                rest = await collect(engine.client, ask("r2", from_offset=5))
+                joined = "".join(e.text for e in rest if isinstance(e, Piece))
+                assert joined == expected_text("m", "v1", "hello", 8, 5)
+                assert (await engine.client.holdings(5.0)).ok == []
+
+        asyncio.run(run())
+
+    def test_lost_stream_is_held_until_cancelled(self, harness):
+        """Guard against an answer to cancel that comes before the memory is free."""
+
+        async def run():
+            async with harness() as engine:
+                client = engine.client
+                stream = client.stream(ask(max_tokens=8_000), 10.0, 5.0)
+                await anext(stream)
+                await stream.aclose()
+                (held,) = (await client.holdings(5.0)).ok
+                assert (held.holding_id, held.owner) == ("r", OWNER)
+                assert (await client.cancel("r", "other/b", 5.0)).ok is False
+                unknown = await client.renew(("r", "x"), OWNER, 1e6, 5.0)
+                assert unknown.ok == {"x"}
+                assert (await client.cancel("r", OWNER, 5.0)).ok is True
+                assert (await client.cancel("r", OWNER, 5.0)).ok is False
+                assert (await client.holdings(5.0)).ok == []
+
+        asyncio.run(run())
+
+    def test_reservations_groups_and_transfers(self, harness):
+        """Guard against an operation that the adapter translates wrongly."""
+
+        async def run():
+            spec = EngineSpec(kv_capacity_tokens=10_000, event_lag_s=0.0)
+            async with harness(spec) as engine:
+                client = engine.client
+                assert (await client.reserve("g", OWNER, 9_000, 1e6, 5.0)).ok
+                assert not (await client.reserve("h", OWNER, 9_000, 1e6, 5.0)).ok
+                part = GroupPart(3, "g")
+                request = ask(prompt="", prompt_tokens=24_000, group=part)
+                events = await collect(client, request)
+                text = expected_text("m", "v1", "#24000", 8)
+                assert text_of(events) == text
+                hashes = (1, 2, 3)
+                cached = ask("c", prompt_tokens=800, prefix_hashes=hashes)
+                await collect(client, cached)
+                (event,) = (await client.cache_events(0, 5.0)).ok
+                assert event.hashes == hashes
+                block = (await client.export_kv("e", OWNER, "m", hashes, 9, 5.0)).ok
+                assert block.tokens == 768
+                assert (await client.import_kv("i", OWNER, block, 9.0, 5.0)).ok
+                assert (await client.release("e", OWNER, 5.0)).ok
+                assert (await client.release("i", OWNER, 5.0)).ok
+                load = (await client.load(5.0)).ok
+                assert load.kv_capacity_tokens == 10_000
+
+        asyncio.run(run())
+
+    def test_orders_and_stale_tokens(self, harness):
+        """Guard against a stale order that the caller takes for an accepted one."""
+
+        async def run():
+            async with harness() as engine:
+                client = engine.client
+                load = Change("load_model", model="n", version="v2")
+                token = Token(2, 1, 1)
+                assert (await client.order(token, load, 5.0)).ok == token
+                report = (await client.report(5.0)).ok
+                assert report.models["n"].version == "v2"
+                assert report.fencing == token
+                unload = Change("unload_model", model="n")
+                refused = await client.order(Token(1, 9, 9), unload, 5.0)
+                assert refused.error.kind is ErrorKind.UPSTREAM_REFUSED
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize(
+        ("kind", "reason"),
+        [
+            ("truncate", "truncated"),
+            ("reset", "reset"),
+            ("silence", "silent"),
+            ("garbage", "invalid"),
+        ],
+    )
+    def test_broken_stream_is_never_complete(self, harness, kind, reason):
+        """Guard against an incomplete answer that looks complete."""
+
+        async def run():
+            async with harness() as engine:
+                engine.disturb(kind)
+                events = await collect(engine.client, ask(), silence_s=0.3)
+                assert isinstance(events[-1], Broken)
+                assert events[-1].reason == reason
+                assert events[-1].failure.execution is Execution.MAY_HAVE_RUN
+                assert not any(isinstance(e, End) for e in events)
+                # A reset may drop pieces that were sent but not yet read.
+                text = text_of(events)
+                assert expected_text("m", "v1", "hello", 2).startswith(text)
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize("kind", ["wrong_id", "duplicate", "reorder", "repeat"])
+    def test_disturbed_pieces_keep_their_names(self, harness, kind):
+        """Guard against a piece joined to text that it does not continue."""
+
+        async def run():
+            async with harness() as engine:
+                engine.disturb(kind)
+                events = await collect(engine.client, ask())
+                for piece in events:
+                    if isinstance(piece, Piece):
+                        end = piece.offset + piece.tokens
+                        text = expected_text("m", "v1", "hello", end, piece.offset)
+                        assert piece.text == text
+                        assert (piece.request_id == "r") or kind == "wrong_id"
+                assert expected_text("m", "v1", "hello", 8).startswith(text_of(events))
+
+        asyncio.run(run())
+
+    def test_refusals_say_whether_the_request_ran(self, harness):
+        """Guard against a refusal that is retried although it may have run."""
+
+        async def run():
+            async with harness() as engine:
+                (big,) = await collect(engine.client, ask(prompt_tokens=10**6))
+                assert big.failure.kind is ErrorKind.INSUFFICIENT_MEMORY
+                engine.server.faults.leaving = True
+                (leaving,) = await collect(engine.client, ask())
+                assert leaving.reason == "leaving" and leaving.sent
+                assert leaving.failure.execution is Execution.NOT_RUN
+                engine.server.faults.lose_cancels = 1
+                lost = await engine.client.cancel("r", OWNER, 5.0)
+                assert lost.error.execution is Execution.MAY_HAVE_RUN
+
+        asyncio.run(run())
+
+
+def piece(offset, name="r"):
+    text = f'{{"request_id":"{name}","offset":{offset},"text":"t{offset} "}}'
+    return f"data: {text}\n\n".encode()
+
+
+END = b'data: {"request_id":"r","end":true,"tokens":2}\n\n'
+GOOD = HEAD + piece(0) + piece(1) + END
+LONG = b"HTTP/1.1 200 OK\r\ncontent-length: 900\r\n\r\n"
+CHUNKED = HEAD[:-2] + b"transfer-encoding: chunked\r\n\r\n" + b"100\r\n"
+# Name, bytes sent, what the server does then, and the last event or its reason.
+FAULTS = [
+    ("reset before the first byte", [], "reset", "reset"),
+    ("close before the first byte", [], "close", "reset"),
+    ("reset after a piece", [CHUNKED + piece(0)], "reset", "reset"),
+    # Without a framing of the body a reset looks like its end; the end marker decides.
+    ("reset without framing", [HEAD + piece(0)], "reset", "truncated"),
+    ("silence before the first byte", [], "silent", "silent"),
+    ("silence after a piece", [HEAD + piece(0)], "silent", "silent"),
+    ("truncated by length", [LONG + piece(0)], "close", "reset"),
+    ("truncated inside a piece", [HEAD + piece(0)[:-5]], "close", "truncated"),
+    ("duplicate answer", [GOOD + GOOD], "close", End("r", 2)),
+    ("late bytes after the end", [GOOD, piece(2)], "silent", End("r", 2)),
+    ("garbage for HTTP", [b"\x00\x01garbage\r\n\r\n"], "close", "invalid"),
+    ("garbage for an event", [HEAD + b"data: {]\n\n"], "close", "invalid"),
+    ("not an event", [HEAD + b"event\n\n"], "close", "invalid"),
+    ("too large an event", [HEAD + b"data: " + b"x" * 300_000], "close", "invalid"),
+    ("one byte at a time", [bytes([b]) for b in GOOD], "close", End("r", 2)),
+]
+
+
+class TestFaults:
+    @pytest.mark.parametrize(
+        ("chunks", "then", "last"),
+        [fault[1:] for fault in FAULTS],
+        ids=[fault[0] for fault in FAULTS],
+    )
+    def test_stream(self, chunks, then, last):
+        """Guard against an answer accepted in spite of a fault of the connection."""
+
+        async def run():
+            async with RawServer(chunks, then) as client:
+                events = await collect(client, ask(), silence_s=0.15)
+                if isinstance(last, End):
+                    assert events[-1] == last
+                    assert text_of(events) == "t0 t1 "
+                else:
+                    assert events[-1].reason == last
+                    assert events[-1].sent
+                    execution = events[-1].failure.execution
+                    assert execution is Execution.MAY_HAVE_RUN
+                assert sum(not isinstance(e, Piece) for e in events) == 1
+
+        asyncio.run(run())
+
+    def test_refused_connection_is_not_run(self):
+        """Guard against doubt about a request that never left."""
+
+        async def run():
+            with socket.create_server(("127.0.0.1", 0)) as unused:
+                port = unused.getsockname()[1]
+            sessions = EngineSessions()
+            client = HttpEngineClient(sessions, f"http://127.0.0.1:{port}")
+            sent = []
+            (only,) = await collect(client, ask(), on_sending=lambda: sent.append(1))
+            assert (only.reason, only.sent, sent) == ("connect_failed", False, [])
+            assert only.failure.execution is Execution.NOT_RUN
+            assert (await client.load(1.0)).error.execution is Execution.NOT_RUN
+            await sessions.close()
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize(
+        ("chunks", "then"),
+        [
+            ([], "reset"),
+            ([], "silent"),
+            ([LONG + b"{"], "close"),
+            ([HEAD + b"[]"], "close"),
+            ([HEAD + b'{"released": false, "found": false}'], "close"),
+        ],
+    )
+    def test_cancel_without_confirmation_is_an_error(self, chunks, then):
+        """Guard against a release that counts as confirmed without proof."""
+
+        async def run():
+            async with RawServer(chunks, then) as client:
+                assert (await client.cancel("r", OWNER, 0.15)).is_error()
+                assert (await client.holdings(0.15)).is_error()
+
+        asyncio.run(run())
+
+
+class TestEventReader:
+    def test_events_of_one_read_are_joined(self):
+        """Guard against one object per token when many arrive at once."""
+        reader = EventReader(1_000)
+        data = b"".join(piece(index) for index in range(100)) + END
+        first = reader.read(data[:510])
+        assert reader.is_partial
+        events = first + reader.read(data[510:])
+        assert len(events) <= 3
+        assert sum(e.tokens for e in events if isinstance(e, Piece)) == 100
--- a/packages/standins/src/dandelionpond_standins/engine.py
+++ b/packages/standins/src/dandelionpond_standins/engine.py
@@ -38,7 +38,9 @@
 from dandelionpond_standins.engine_wire import (
     Body,
     Generate,
+    Group,
     Protocol,
+    Renewal,
     Stream,
     answer,
     decode,
@@ -109,7 +111,7 @@
         hashes = body.prefix_hashes or block_hashes(
             f"{body.model}\x00{version}", body.prompt, self._model.spec.block_tokens
         )
-        parts = max(1, body.group.parts)
+        group = body.group or Group()
         submitted = self._model.submit(
             ModelRequest(
                 body.request_id,
@@ -121,8 +123,8 @@
                 body.priority,
                 body.expires_in_s,
                 body.from_offset,
-                -(-tokens // parts) if parts > 1 else 0,
-                body.group.reservation,
+                -(-tokens // group.parts) if group.parts > 1 else 0,
+                group.reservation,
                 body.retain_s,
             ),
             self.now,
@@ -146,6 +148,9 @@
             self.faults.lose_cancels -= 1
             reset(request.scope)
             return answer(500, {})
+        holder = self._model.owner(body.id)
+        if body.owner and holder is not None and holder != body.owner:
+            return answer(200, {"released": True, "found": False})
         found = self._model.cancel(body.id, self.now)
         stream = self._streams.get(body.id)
         if stream is not None:
@@ -154,12 +159,18 @@
         return answer(200, {"released": True, "found": found})
 
     async def renew(self, request: Request) -> Response:
-        """Move the expiry of a holding."""
-        body = decode(await request.body(), Body)
+        """Move the expiry of the holdings that belong to the owner."""
+        body = decode(await request.body(), Renewal)
         if isinstance(body, Response):
             return body
-        known = self._model.renew(body.id, body.expires_in_s, self.now)
-        return answer(200 if known else 404, {"renewed": known})
+        now = self.now
+        unknown = [
+            each
+            for each in body.ids
+            if self._model.owner(each) != body.owner
+            or not self._model.renew(each, body.expires_in_s, now)
+        ]
+        return answer(200, {"unknown": unknown})
 
     async def reserve(self, request: Request) -> Response:
         """Reserve memory in tokens."""
@@ -169,7 +180,7 @@
         done = self._model.reserve(
             body.id, body.owner, body.tokens, body.expires_in_s, self.now
         )
-        return answer(200 if done else 409, {"reserved": done})
+        return answer(200, {"done": done})
 
     async def export(self, request: Request) -> Response:
         """Hold cached blocks for a transfer and return their identity."""
@@ -184,7 +195,7 @@
             body.expires_in_s,
             self.now,
         )
-        return answer(404 if block is None else 200, {"block": block})
+        return answer(200, {"block": block})
 
     async def import_(self, request: Request) -> Response:
         """Store exported blocks."""
@@ -196,7 +207,7 @@
         done = self._model.import_(
             body.id, body.owner, body.block, body.expires_in_s, self.now
         )
-        return answer(200 if done else 409, {"imported": done})
+        return answer(200, {"done": done})
 
     async def holdings(self, request: Request) -> Response:
         """List everything held."""
--- a/packages/standins/src/dandelionpond_standins/engine_model.py
+++ b/packages/standins/src/dandelionpond_standins/engine_model.py
@@ -98,6 +98,11 @@
         """Return the tokens of memory in use, without evictable cache."""
         return self._memory.used
 
+    def owner(self, holding_id: str) -> str | None:
+        """Return the owner of a holding, or None if nothing is held."""
+        held = self._memory.held.get(holding_id)
+        return None if held is None else held.owner
+
     def submit(self, request: ModelRequest, now: float) -> Submitted | SubmitRefused:
         """Queue a request or refuse it without side effects."""
         self._run(now)
--- a/packages/standins/src/dandelionpond_standins/engine_text.py
+++ b/packages/standins/src/dandelionpond_standins/engine_text.py
@@ -12,7 +12,7 @@
 
 def text_seed(model: str, version: str, prompt: str) -> int:
     """Return the number that determines the whole answer to a prompt."""
-    return xxhash.xxh3_64_intdigest(f"{model}\x00{version}\x00{prompt}")
+    return xxhash.xxh3_64_intdigest(f"{model}\x00{version}\x00{prompt}".encode())
 
 
 def token_text(seed: int, index: int) -> str:
--- a/packages/standins/src/dandelionpond_standins/engine_wire.py
+++ b/packages/standins/src/dandelionpond_standins/engine_wire.py
@@ -38,11 +38,11 @@
     from_offset: int = 0
     expires_in_s: float = 30.0
     retain_s: float = 0.0
-    group: Group = Group()
+    group: Group | None = None
 
 
 class Body(msgspec.Struct, frozen=True):
-    """Hold the body of cancel, renew, reserve, release, export and import."""
+    """Hold the body of cancel, reserve, release, export and import."""
 
     id: str
     owner: str = ""
@@ -53,6 +53,14 @@
     block: ExportedBlock | None = None
 
 
+class Renewal(msgspec.Struct, frozen=True):
+    """Hold the body of renew."""
+
+    ids: tuple[str, ...]
+    owner: str
+    expires_in_s: float
+
+
 class Stream:
     """Track how much of one answer may be sent; the sender waits on `changed`."""
 
