--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/folder.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/folder.py
@@ -1,6 +1,7 @@
 """Read a published folder from disk and report its errors."""
 
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 
 import msgspec
@@ -62,7 +63,7 @@
     sys.stdout.write(text.decode() + "\n")
 
 
-def print_table(columns: tuple[str, ...], rows: list[tuple[str, ...]]) -> None:
+def print_table(columns: tuple[str, ...], rows: Sequence[tuple[str, ...]]) -> None:
     """Print a table; long cells are folded, never cut."""
     table = Table(*columns, show_edge=False)
     for column in table.columns:
--- a/packages/dandelionpond/src/dandelionpond/adapters/platform.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/platform.py
@@ -10,7 +10,6 @@
 import aiohttp
 import msgspec
 from expression import Error, Ok, Result
-from yarl import URL
 
 MAX_VALUE_BYTES = 1_000_000
 # 20,000 file names or VMs of up to 200 bytes each, with room to double.
@@ -132,7 +131,7 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Self:
-        """Open the session."""
+        """Return the client; the session opens with the first call."""
         return self
 
     async def __aexit__(
@@ -152,13 +151,13 @@
 
     async def list_files(self, prefix: str) -> Result[Listing, PlatformError]:
         """List the names under a prefix; names in the answer include the prefix."""
-        path = f"/v1/list?prefix={quote(prefix, safe='')}"
-        return await self._decode(path, Listing, self._timeout_s)
+        query = {"prefix": prefix}
+        return await self._decode("/v1/list", query, Listing, self._timeout_s)
 
     async def read(self, name: str) -> Result[Value, PlatformError]:
         """Read one value of up to `MAX_VALUE_BYTES`."""
         path = f"/v1/keys/{quote(name)}"
-        match await self._get(path, MAX_VALUE_BYTES, self._timeout_s):
+        match await self._get(path, {}, MAX_VALUE_BYTES, self._timeout_s):
             case Result(tag="ok", ok=(content, header)):
                 if header is None or not header.isascii() or not header.isdigit():
                     return _error(PlatformFault.INVALID, "X-Revision is not a number")
@@ -172,19 +171,18 @@
         self, prefix: str, from_revision: int, wait_s: float
     ) -> Result[WatchAnswer, PlatformError]:
         """Wait up to `wait_s` seconds for a revision above `from_revision`."""
-        query = f"prefix={quote(prefix, safe='')}&from={from_revision}&wait_s={wait_s}"
-        path = f"/v1/watch?{query}"
+        query = {"prefix": prefix, "from": str(from_revision), "wait_s": str(wait_s)}
         timeout_s = wait_s + min(WATCH_MARGIN_S, self._timeout_s)
-        return await self._decode(path, WatchAnswer, timeout_s)
+        return await self._decode("/v1/watch", query, WatchAnswer, timeout_s)
 
     async def vms(self) -> Result[VmList, PlatformError]:
         """List the live and leaving VMs."""
-        return await self._decode("/v1/vms", VmList, self._timeout_s)
+        return await self._decode("/v1/vms", {}, VmList, self._timeout_s)
 
     async def _decode(
-        self, path: str, kind: type[T], timeout_s: float
+        self, path: str, query: dict[str, str], kind: type[T], timeout_s: float
     ) -> Result[T, PlatformError]:
-        match await self._get(path, MAX_LISTING_BYTES, timeout_s):
+        match await self._get(path, query, MAX_LISTING_BYTES, timeout_s):
             case Result(tag="ok", ok=(content, _)):
                 try:
                     return Ok(msgspec.json.decode(content, type=kind))
@@ -194,7 +192,7 @@
                 return Error(error)
 
     async def _get(
-        self, path: str, limit: int, timeout_s: float
+        self, path: str, query: dict[str, str], limit: int, timeout_s: float
     ) -> Result[tuple[bytes, str | None], PlatformError]:
         if self._session is None:
             self._session = aiohttp.ClientSession(
@@ -204,11 +202,11 @@
                 headers={"Accept-Encoding": "identity"},
                 timeout=aiohttp.ClientTimeout(total=None),
             )
-        url = URL(self._base + path, encoded=True)
+        url = self._base + path
         try:
             async with (
                 asyncio.timeout(timeout_s),
-                self._session.get(url, allow_redirects=False) as response,
+                self._session.get(url, params=query, allow_redirects=False) as response,
             ):
                 if response.status == 404:
                     return _error(PlatformFault.NOT_FOUND, path)
--- a/packages/dandelionpond/src/dandelionpond/config/check.py
+++ b/packages/dandelionpond/src/dandelionpond/config/check.py
@@ -118,16 +118,19 @@
     return found + _dangling(path, "services", "service", upstream.services, services)
 
 
-def check_key_hashes(accounts: Mapping[str, ClientAccount]) -> list[Problem]:
+def check_key_hashes(
+    accounts: Mapping[str, ClientAccount],
+) -> list[tuple[str, Problem]]:
     """Return accounts that share a key hash with an account of a lower name."""
     owners: dict[str, str] = {}
-    found: list[Problem] = []
+    found: list[tuple[str, Problem]] = []
     for name in sorted(accounts):
         for index, key_hash in enumerate(accounts[name].key_hashes):
             first = owners.setdefault(key_hash, name)
             if first != name:
                 path = join(join(join("client_accounts", name), "key_hashes"), index)
-                found.append((path, f"key hash is also that of account {first!r}"))
+                reason = f"key hash is also that of account {first!r}"
+                found.append((name, (path, reason)))
     return found
 
 
--- a/packages/dandelionpond/src/dandelionpond/config/merge.py
+++ b/packages/dandelionpond/src/dandelionpond/config/merge.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from typing import Any, get_type_hints
 
@@ -21,47 +22,39 @@
     collect,
     join,
 )
+from dandelionpond.config.origins import file_of, origins_of
 from dandelionpond.config.parse import Parsed, parse_file
-from dandelionpond.config.schema import Settings
+from dandelionpond.config.schema import ClientAccount, Settings
 
 __all__ = ["Merged", "Merger", "SettingsError", "merge_folder"]
 
 COLLECTIONS = ("failure_domains", "client_accounts", "models", "services", "upstreams")
+_ACCOUNTS = "client_accounts"
 
-Key = tuple[str, ...]
+# A section and the name of a member, which is empty where the section is one unit.
+Key = tuple[str, str]
 _KINDS: dict[str, Any] = get_type_hints(Settings, include_extras=True)
 
 
-class _Entry:
-    """Hold one member of a collection, or one whole section, merged and checked."""
-
-    __slots__ = ("errors", "parts", "present", "text", "typed", "value")
-
-    def __init__(self) -> None:
-        self.parts: dict[str, Any] = {}
-        self.present = False
-        self.value: Any = None
-        self.typed: Any = None
-        self.text = b""
-        self.errors: list[SettingsError] = []
-
-
 class Merged:
-    """Hold merged settings; `digest` is BLAKE2b-256 over the canonical JSON."""
+    """Hold merged settings; `digest` is BLAKE2b-256 over the canonical JSON.
+
+    `document` shares its parts with later merges and must not be changed.
+    """
 
-    __slots__ = ("_origins", "_parts", "digest", "document", "settings")
+    __slots__ = ("_files", "_origins", "digest", "document", "settings")
 
     def __init__(
         self,
         settings: Settings,
         document: dict[str, Any],
         digest: str,
-        parts: tuple[tuple[str, dict[str, Any]], ...],
+        files: dict[str, Parsed],
     ) -> None:
         self.settings = settings
         self.document = document
         self.digest = digest
-        self._parts = parts
+        self._files = files
         self._origins: dict[str, str] | None = None
 
     @property
@@ -71,25 +64,73 @@
         It is computed at the first use, because only operators read it.
         """
         if self._origins is None:
-            self._origins = _origins("", self._parts)
+            parts = [(name, item.document) for name, item in self._files.items()]
+            self._origins = origins_of("", parts)
         return self._origins
 
 
-class Merger:
-    """Merge folders one after another and reuse what has not changed."""
+class _Section:
+    """Hold the merged and checked members of one section by name."""
+
+    __slots__ = ("errors", "files", "names", "parts", "texts", "typed", "values")
 
-    __slots__ = ("_cross", "_entries", "_files", "_irregular", "_names", "_sections")
+    def __init__(self) -> None:
+        self.files = 0
+        self.parts: dict[str, dict[str, Any]] = {}
+        self.values: dict[str, Any] = {}
+        self.typed: dict[str, Any] = {}
+        self.texts: dict[str, bytes] = {}
+        self.errors: dict[str, list[SettingsError]] = {}
+        self.names: list[str] | None = None
+
+    def clear(self, name: str) -> None:
+        """Forget the merged value of a member."""
+        if name in self.values:
+            del self.values[name]
+            self.names = None
+        for table in (self.typed, self.texts, self.errors):
+            table.pop(name, None)
+
+    def text(self) -> bytes:
+        """Return the members as canonical JSON text, sorted by name."""
+        if self.names is None:
+            self.names = sorted(self.values)
+        return b",".join([self.texts[name] for name in self.names])
+
+
+class Merger:
+    """Merge folders one after another and reuse what has not changed.
+
+    A collection in which each file has an object is merged member by member. If any
+    file replaces a whole collection by another value, that collection is merged as one
+    unit until no file does so.
+    """
+
+    __slots__ = (
+        "_cross",
+        "_files",
+        "_hash_uses",
+        "_irregular",
+        "_known",
+        "_odd",
+        "_sections",
+        "_several",
+        "_shared_hashes",
+    )
 
     def __init__(self) -> None:
         self._reset()
 
     def _reset(self) -> None:
         self._files: dict[str, Parsed] = {}
-        self._entries: dict[str, dict[Key, _Entry]] = {}
-        self._sections: dict[str, int] = {}
+        self._odd: dict[str, Parsed] = {}
+        self._sections: dict[str, _Section] = {}
         self._irregular: frozenset[str] = frozenset()
-        self._names: tuple[set[str], ...] = ()
+        self._known: tuple[set[str], ...] = ()
         self._cross: dict[Key, list[SettingsError]] = {}
+        self._several: set[str] = set()
+        self._hash_uses: Counter[str] = Counter()
+        self._shared_hashes = 0
 
     def merge(self, files: Mapping[str, bytes]) -> Result[Merged, list[SettingsError]]:
         """Merge and check a folder; an error is the sorted list of all errors."""
@@ -100,187 +141,196 @@
                 parsed[name] = known
             else:
                 parsed[name] = parse_file(name, files[name])
-        irregular = frozenset(
-            section
-            for item in parsed.values()
-            for section in COLLECTIONS
-            if not isinstance(item.document.get(section, {}), dict)
-        )
+        changed = [
+            name
+            for name in self._files.keys() | parsed.keys()
+            if self._files.get(name) is not parsed.get(name)
+        ]
+        odd = {name: item for name, item in self._odd.items() if name in parsed}
+        for name in changed:
+            odd.pop(name, None)
+            if name in parsed and (parsed[name].errors or _irregular(parsed[name])):
+                odd[name] = parsed[name]
+        irregular = frozenset(s for item in odd.values() for s in _irregular(item))
         if irregular != self._irregular:
             self._reset()
             self._irregular = irregular
-        dirty = self._replace_files(parsed)
+            changed = list(parsed)
+        self._odd = odd
+        dirty = self._replace_files(parsed, changed)
         for key in dirty:
             self._evaluate(key)
-        errors = [error for item in parsed.values() for error in item.errors]
-        errors += [
-            error
-            for section in self._entries.values()
-            for entry in section.values()
-            for error in entry.errors
-        ]
-        fields = self._fields()
+        errors = [error for item in odd.values() for error in item.errors]
+        for section in self._sections.values():
+            errors += [error for found in section.errors.values() for error in found]
+        fields: dict[str, Any] = {
+            name: dict(section.typed) if self._by_member(name) else section.typed[""]
+            for name, section in self._sections.items()
+            if section.typed
+        }
         errors += self._cross_check(fields, dirty)
         if errors:
             return Error(sorted(set(errors)))
         document, digest = self._document()
-        parts = tuple((name, item.document) for name, item in parsed.items())
-        return Ok(Merged(Settings(**fields), document, digest, parts))
+        return Ok(Merged(Settings(**fields), document, digest, parsed))
+
+    def _by_member(self, section: str) -> bool:
+        return section in COLLECTIONS and section not in self._irregular
 
-    def _keys(self, document: dict[str, Any]) -> Iterable[tuple[Key, Any]]:
+    def _parts(self, document: dict[str, Any]) -> Iterable[tuple[Key, Any]]:
         for section, value in document.items():
-            if section in COLLECTIONS and section not in self._irregular:
+            if self._by_member(section):
                 for name, item in value.items():
                     yield (section, name), item
             else:
-                yield (section,), value
+                yield (section, ""), value
 
-    def _replace_files(self, parsed: dict[str, Parsed]) -> set[Key]:
+    def _replace_files(
+        self, parsed: dict[str, Parsed], changed: Iterable[str]
+    ) -> set[Key]:
         dirty: set[Key] = set()
-        for name in self._files.keys() | parsed.keys():
-            old, new = self._files.get(name), parsed.get(name)
-            if old is new:
-                continue
+        for file in changed:
+            old, new = self._files.get(file), parsed.get(file)
             if old is not None:
                 for section in old.document:
-                    self._sections[section] -= 1
-                for key, _ in self._keys(old.document):
-                    self._entries[key[0]][key].parts.pop(name)
-                    dirty.add(key)
+                    self._sections[section].files -= 1
+                for (section, name), _ in self._parts(old.document):
+                    self._sections[section].parts[name].pop(file)
+                    dirty.add((section, name))
             if new is not None:
                 for section in new.document:
-                    self._sections[section] = self._sections.get(section, 0) + 1
-                for key, part in self._keys(new.document):
-                    section_entries = self._entries.setdefault(key[0], {})
-                    section_entries.setdefault(key, _Entry()).parts[name] = part
-                    dirty.add(key)
+                    self._sections.setdefault(section, _Section()).files += 1
+                for (section, name), part in self._parts(new.document):
+                    self._sections[section].parts.setdefault(name, {})[file] = part
+                    dirty.add((section, name))
         self._files = parsed
         return dirty
 
     def _evaluate(self, key: Key) -> None:
-        entry = self._entries[key[0]][key]
-        if not entry.parts:
-            del self._entries[key[0]][key]
-            self._cross.pop(key, None)
+        section_name, name = key
+        section = self._sections[section_name]
+        by_member = self._by_member(section_name)
+        if section_name == _ACCOUNTS and by_member:
+            self._count_hashes(section.typed.get(name), -1)
+        previous = section.values.get(name)
+        parts = section.parts[name]
+        merged = _merge_parts(parts)
+        if previous is None or "v" not in merged:
+            section.clear(name)
+            section.names = None
+        if section_name == _ACCOUNTS:
+            self._several.discard(name)
+            if len(parts) > 1:
+                self._several.add(name)
+        if not parts:
+            del section.parts[name]
+        if "v" not in merged:
             return
-        patches = [{"v": entry.parts[name]} for name in sorted(entry.parts)]
-        merged = json_merge_patch.merge({}, *patches)
-        entry.present, entry.value = "v" in merged, merged.get("v")
-        entry.typed, entry.text, entry.errors = None, b"", []
-        if not entry.present:
-            return
-        section, value = key[0], entry.value
-        kind = _KINDS.get(section)
-        if len(key) == 2:
-            value = {key[1]: value}
+        value = section.values[name] = merged["v"]
+        section.errors.pop(name, None)
+        section.typed.pop(name, None)
+        kind = _KINDS.get(section_name)
         if kind is None:
-            entry.errors = self._locate(
-                entry, key, [(join("", section), "unknown field")]
-            )
+            problems = [(join("", section_name), "unknown field")]
+            section.errors[name] = self._locate(key, problems)
             return
+        whole = {name: value} if by_member else value
         try:
-            typed = msgspec.convert(value, kind)
+            typed = msgspec.convert(whole, kind)
         except msgspec.ValidationError:
-            problems = collect(kind, value, section)
-            entry.errors = self._locate(entry, key, problems)
+            problems = collect(kind, whole, section_name)
+            section.errors[name] = self._locate(key, problems)
             return
-        entry.typed = typed[key[1]] if len(key) == 2 else typed
-        entry.text = (
-            msgspec.json.encode(key[-1])
+        section.typed[name] = typed[name] if by_member else typed
+        section.texts[name] = (
+            msgspec.json.encode(name if by_member else section_name)
             + b":"
-            + msgspec.json.encode(entry.value, order="sorted")
+            + msgspec.json.encode(value, order="sorted")
         )
-
-    def _locate(
-        self, entry: _Entry, key: Key, problems: list[Problem]
-    ) -> list[SettingsError]:
-        path = ""
-        for token in key:
-            path = join(path, token)
-        parts = tuple((name, entry.parts[name]) for name in sorted(entry.parts))
-        origins = _origins(path, parts)
+        if section_name == _ACCOUNTS and by_member:
+            self._count_hashes(section.typed[name], 1)
+
+    def _count_hashes(self, account: ClientAccount | None, step: int) -> None:
+        for key_hash in account.key_hashes if account else ():
+            uses = self._hash_uses[key_hash] + step
+            if max(uses, uses - step) == 2:
+                self._shared_hashes += step
+            if uses:
+                self._hash_uses[key_hash] = uses
+            else:
+                del self._hash_uses[key_hash]
+
+    def _locate(self, key: Key, problems: list[Problem]) -> list[SettingsError]:
+        section, name = key
+        if not self._by_member(section):
+            name = ""
+        path = join("", section)
+        if self._by_member(section):
+            path = join(path, name)
+        found = self._sections[section].parts[name]
+        parts = [(file, found[file]) for file in sorted(found)]
+        origins = origins_of(path, parts)
         return [
-            SettingsError(_file_of(where, origins, parts[-1][0]), where, reason)
+            SettingsError(file_of(where, origins, parts[-1][0]), where, reason)
             for where, reason in problems
         ]
 
-    def _fields(self) -> dict[str, Any]:
-        fields: dict[str, Any] = {}
-        for section, entries in self._entries.items():
-            if section in COLLECTIONS and section not in self._irregular:
-                fields[section] = {
-                    key[1]: entry.typed
-                    for key, entry in entries.items()
-                    if entry.typed is not None
-                }
-            else:
-                for entry in entries.values():
-                    if entry.typed is not None:
-                        fields[section] = entry.typed
-        return fields
-
-    def _known(self, section: str) -> set[str]:
-        entries = self._entries.get(section, {})
-        if section not in self._irregular:
-            return {key[1] for key, entry in entries.items() if entry.present}
-        entry = entries.get((section,))
-        return set(entry.value) if entry and isinstance(entry.value, dict) else set()
+    def _names(self, section: str) -> set[str]:
+        held = self._sections.get(section)
+        if held is None:
+            return set()
+        if self._by_member(section):
+            return set(held.values)
+        value = held.values.get("")
+        return set(value) if isinstance(value, dict) else set()
 
     def _cross_check(
         self, fields: dict[str, Any], dirty: set[Key]
     ) -> list[SettingsError]:
-        names = tuple(self._known(s) for s in ("failure_domains", "models", "services"))
-        domains, models, services = names
-        everything = bool(self._irregular) or names != self._names
-        self._names = names
-        if everything:
+        known = tuple(self._names(s) for s in ("failure_domains", "models", "services"))
+        domains, models, services = known
+        keys: Iterable[Key] = dirty
+        if self._irregular or known != self._known:
             self._cross = {}
-        for section in ("client_accounts", "upstreams"):
-            typed = fields.get(section, {})
-            for name in typed if everything else {k[1] for k in dirty if k[1:]}:
-                key = (section, name)
-                if not everything and key not in dirty:
-                    continue
-                problems: list[Problem] = []
-                if name in typed and section == "client_accounts":
-                    problems = check_account(name, typed[name], models, services)
-                elif name in typed:
-                    problems = check_upstream(
-                        name, typed[name], domains, models, services
-                    )
-                self._cross.pop(key, None)
-                if problems:
-                    self._cross[key] = self._attribute(key, problems)
+            keys = [(s, n) for s in (_ACCOUNTS, "upstreams") for n in fields.get(s, ())]
+        self._known = known
+        for key in keys:
+            section, name = key
+            self._cross.pop(key, None)
+            value = (
+                fields.get(section, {}).get(name) if section in COLLECTIONS else None
+            )
+            problems: list[Problem] = []
+            if value is not None and section == _ACCOUNTS:
+                problems = check_account(name, value, models, services)
+            elif value is not None and section == "upstreams":
+                problems = check_upstream(name, value, domains, models, services)
+            if problems:
+                self._cross[key] = self._locate(key, problems)
         found = [error for errors in self._cross.values() for error in errors]
-        for path, reason in check_key_hashes(fields.get("client_accounts", {})):
-            name = path.split("/")[1].replace("~1", "/").replace("~0", "~")
-            found += self._attribute(("client_accounts", name), [(path, reason)])
+        if self._shared_hashes or _ACCOUNTS in self._irregular:
+            for name, problem in check_key_hashes(fields.get(_ACCOUNTS, {})):
+                found += self._locate((_ACCOUNTS, name), [problem])
         return found + self._definitions()
 
-    def _attribute(self, key: Key, problems: list[Problem]) -> list[SettingsError]:
-        if key[0] in self._irregular:
-            key = key[:1]
-        return self._locate(self._entries[key[0]][key], key, problems)
-
     def _definitions(self) -> list[SettingsError]:
         """Return accounts that more than one file defines; `null` only removes."""
-        section = "client_accounts"
         definers: dict[str, list[str]] = {}
-        if section in self._irregular:
+        if _ACCOUNTS in self._irregular:
             for file, parsed in self._files.items():
-                part = parsed.document.get(section)
+                part = parsed.document.get(_ACCOUNTS)
                 for name, value in part.items() if isinstance(part, dict) else ():
                     if value is not None:
                         definers.setdefault(name, []).append(file)
-        else:
-            for key, entry in self._entries.get(section, {}).items():
-                if len(entry.parts) > 1:
-                    definers[key[1]] = sorted(
-                        file for file, part in entry.parts.items() if part is not None
-                    )
+        elif _ACCOUNTS in self._sections:
+            parts = self._sections[_ACCOUNTS].parts
+            for name in self._several:
+                definers[name] = sorted(
+                    file for file, part in parts[name].items() if part is not None
+                )
         return [
             SettingsError(
-                file, join(section, name), f"account is already defined in {files[0]}"
+                file, join(_ACCOUNTS, name), f"account is already defined in {files[0]}"
             )
             for name, files in definers.items()
             for file in files[1:]
@@ -290,22 +340,20 @@
         document: dict[str, Any] = {}
         hasher = hashlib.blake2b(b"{", digest_size=32)
         separator = b""
-        for section in sorted(self._sections):
-            if not self._sections[section]:
+        for name in sorted(self._sections):
+            section = self._sections[name]
+            if not section.files:
                 continue
-            entries = self._entries.get(section, {})
-            if section in COLLECTIONS and section not in self._irregular:
-                keys = sorted(key for key, entry in entries.items() if entry.present)
-                document[section] = {key[1]: entries[key].value for key in keys}
-                text = b",".join([entries[key].text for key in keys])
-                text = msgspec.json.encode(section) + b":{" + text + b"}"
+            text = section.text()
+            if self._by_member(name):
+                document[name] = dict(section.values)
+                text = msgspec.json.encode(name) + b":{" + text + b"}"
+            elif section.values:
+                document[name] = section.values[""]
             else:
-                entry = entries[(section,)]
-                if not entry.present:
-                    continue
-                document[section] = entry.value
-                text = entry.text
-            hasher.update(separator + text)
+                continue
+            hasher.update(separator)
+            hasher.update(text)
             separator = b","
         hasher.update(b"}")
         return document, hasher.hexdigest()
@@ -316,42 +364,28 @@
     return Merger().merge(files)
 
 
-def _origins(path: str, parts: tuple[tuple[str, Any], ...]) -> dict[str, str]:
-    tree: Any = None
-    for file, part in parts:
-        tree = None if part is None else _mark(tree, part, file)
-    found: dict[str, str] = {}
-    _flatten(tree, path, found)
-    return found
-
-
-def _mark(tree: Any, part: Any, file: str) -> Any:
-    """Apply a patch to a tree that holds file names in place of values."""
-    if not isinstance(part, dict):
-        return file
-    result = tree if isinstance(tree, dict) else {}
-    for key, value in part.items():
-        if value is None:
-            result.pop(key, None)
-        else:
-            result[key] = _mark(result.get(key), value, file)
-    return result
-
-
-def _flatten(tree: Any, path: str, found: dict[str, str]) -> None:
-    if isinstance(tree, dict):
-        for key, value in tree.items():
-            _flatten(value, join(path, key), found)
-    elif tree is not None:
-        found[path] = tree
-
-
-def _file_of(path: str, origins: dict[str, str], default: str) -> str:
-    while path:
-        if path in origins:
-            return origins[path]
-        below = [file for leaf, file in origins.items() if leaf.startswith(path + "/")]
-        if below:
-            return max(below)
-        path = path.rpartition("/")[0]
-    return default
+def _irregular(parsed: Parsed) -> list[str]:
+    """Return the collections for which a file has another value than an object."""
+    return [
+        section
+        for section in COLLECTIONS
+        if not isinstance(parsed.document.get(section, {}), dict)
+    ]
+
+
+def _merge_parts(parts: Mapping[str, Any]) -> dict[str, Any]:
+    """Return `{"v": value}`, or an empty object if the patches leave no value."""
+    if len(parts) == 1:
+        [part] = parts.values()
+        if not _has_null(part):
+            # A patch without null is its own result; sharing it saves a copy.
+            return {"v": part}
+    patches = [{"v": parts[file]} for file in sorted(parts)]
+    merged: dict[str, Any] = json_merge_patch.merge({}, *patches)
+    return merged
+
+
+def _has_null(part: Any) -> bool:
+    if isinstance(part, dict):
+        return any(_has_null(value) for value in part.values())
+    return part is None
