--- a/packages/dandelionpond/src/dandelionpond/http/callers.py
+++ b/packages/dandelionpond/src/dandelionpond/http/callers.py
@@ -12,7 +12,7 @@
 from starlette.routing import Route
 
 from dandelionpond.config.schema import ClientAccount, Settings
-from dandelionpond.errors import ErrorKind, Failure
+from dandelionpond.errors import ErrorKind, Execution, Failure
 from dandelionpond.http.answers import (
     EXECUTION_HEADER,
     JSON,
@@ -97,17 +97,13 @@
     ) -> Callable[[Request], Awaitable[Response]]:
         async def endpoint(request: Request) -> Response:
             request_id = new_request_id()
-            match self._identify(request, request_id):
-                case Result(tag="ok", ok=caller):
-                    result = await handler(request, caller)
-                case Result(error=failure):
-                    result = Error(failure)
-            match result:
-                case Result(tag="ok", ok=response):
-                    return response
-                case Result(error=failure):
-                    return self._fail(failure, request_id)
-            raise AssertionError("a result is a value or a failure")
+            caller = self._identify(request, request_id)
+            result: Answered = Error(caller.error) if caller.is_error() else Ok(None)
+            if caller.is_ok():
+                result = await handler(request, caller.ok)
+            if result.is_ok():
+                return result.ok
+            return self._fail(result.error, request_id)
 
         return endpoint
 
@@ -275,9 +271,17 @@
                 found.status,
                 {
                     REQUEST_ID_HEADER: caller.request_id,
-                    EXECUTION_HEADER: "ran",
+                    EXECUTION_HEADER: _execution(found.status),
                     "X-Repeated-Outcome": "true" if found.repeated else "false",
                 },
                 found.content_type,
             )
         )
+
+
+def _execution(status: int) -> Execution:
+    """Return what the answer of a service says of the execution.
+
+    A service that answers with an error of its own may have failed half-way.
+    """
+    return Execution.RAN if status < 500 else Execution.MAY_HAVE_RUN
--- a/packages/dandelionpond/src/dandelionpond/requests/budget.py
+++ b/packages/dandelionpond/src/dandelionpond/requests/budget.py
@@ -25,6 +25,10 @@
         """Return the retries that are permitted now."""
         return self._level
 
+    def configure(self, settings: RequestsSettings) -> None:
+        """Take new settings from the next request on."""
+        self._settings = settings
+
     def earn(self) -> None:
         """Count one request."""
         limit = float(self._settings.retry_burst)
@@ -58,6 +62,12 @@
             self._overflow.take()
         self.at_bound = 0
 
+    def configure(self, settings: RequestsSettings) -> None:
+        """Take new settings; budgets in use change from the next request on."""
+        self._settings = settings
+        for budget in (self._overflow, *self._budgets.values()):
+            budget.configure(settings)
+
     def get(self, name: str) -> RetryBudget:
         """Return the budget of a service or model."""
         budget = self._budgets.get(name)
--- a/packages/dandelionpond/src/dandelionpond/runtime/accounts.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/accounts.py
@@ -48,6 +48,10 @@
                 self.count_refusal(account, failure)
                 return Error(failure)
 
+    def admit_call(self, account: str) -> Result[Admitted, Failure]:
+        """Admit a plain call, which counts for concurrency but has no tokens."""
+        return self.admit(account, 0)
+
     def finished(self, admitted: Admitted, used_tokens: int) -> None:
         """Record the end of a request."""
         self.limiter.finished(admitted, float(used_tokens), self._core.now())
--- a/packages/dandelionpond/src/dandelionpond/runtime/core.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/core.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 
+from dandelionpond import __version__
 from dandelionpond.clock import Clock
 from dandelionpond.config.keeper import Accepted, Refused, SettingsKeeper
 from dandelionpond.config.local import LocalSettings
@@ -16,6 +17,7 @@
 from dandelionpond.logs import NodeContext
 from dandelionpond.metrics import Metrics
 from dandelionpond.record.recorder import Recorder
+from dandelionpond.record.registry import Decision
 from dandelionpond.runtime.tasks import Tasks
 
 log = logging.getLogger("dandelionpond.settings")
@@ -47,7 +49,7 @@
         self.metrics = Metrics()
         self.tasks = Tasks()
         self.keeper = SettingsKeeper()
-        self.recorder = Recorder(Settings().record.ring_size)
+        self.recorder = Recorder(Settings().record, __version__)
         self.keys = KeyIndex(Settings())
         self.on_settings: list[Callable[[Settings], None]] = []
         self._logs = logs
@@ -79,6 +81,11 @@
         """Return the monotonic time in seconds."""
         return self.clock.monotonic()
 
+    def record(self, decision: Decision, input: object, outcome: object) -> None:
+        """Record a decision with its whole input."""
+        at = self.clock.wall().timestamp()
+        self.recorder.record(decision, input, outcome, at, self.digest)
+
     def offer(self, revision: int, files: dict[str, bytes]) -> object:
         """Offer a folder to the keeper and put it into force if it is accepted."""
         verdict = self.keeper.offer(revision, files, self.now())
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/runtime/engines.py
@@ -0,0 +1,262 @@
+"""Keep in touch with the engines in reach and place prompts on them."""
+
+import asyncio
+import logging
+
+from dandelionpond.adapters.engine import EngineSessions, HttpEngineClient
+from dandelionpond.adapters.engine_api import EngineClient
+from dandelionpond.config.schema import EngineUpstream, Settings
+from dandelionpond.decisions import ROUTE, RouteInput
+from dandelionpond.errors import Failure
+from dandelionpond.membership.messages import UpstreamChanged
+from dandelionpond.routing.dispatcher import (
+    DispatchAction,
+    Dispatcher,
+    Place,
+    PlaceGroup,
+    Refuse,
+    Work,
+)
+from dandelionpond.routing.load import LoadReport
+from dandelionpond.routing.outliers import Ejected, Returned
+from dandelionpond.routing.prefixes import CacheEvent
+from dandelionpond.runtime.core import Core
+from dandelionpond.runtime.gossip import Gossip
+from dandelionpond.runtime.leases import LeaseRunner
+
+log = logging.getLogger("dandelionpond.engines")
+
+TICK_S = 0.05
+CALL_TIMEOUT_S = 2.0
+LOAD_INTERVAL_S = 0.5
+EVENTS_INTERVAL_S = 2.0
+# Load reports that fail this often in a row raise a suspicion of the engine.
+FAILURES_TO_SUSPECT = 3
+
+Placement = Place | PlaceGroup | Refuse
+
+
+class Engines:
+    """Own the engine clients and drive the dispatcher."""
+
+    def __init__(self, core: Core, gossip: Gossip) -> None:
+        self._core = core
+        self._gossip = gossip
+        self._sessions = EngineSessions()
+        self._clients: dict[str, EngineClient] = {}
+        self._urls: dict[str, str] = {}
+        self._polls: dict[str, asyncio.Task[None]] = {}
+        self._waiting: dict[str, asyncio.Future[Placement]] = {}
+        self._poll_failures: dict[str, int] = {}
+        self.leases = LeaseRunner(core, gossip, self.client)
+        self.dispatcher = Dispatcher(
+            core.local.name, core.settings, core.random.getrandbits(32), core.now()
+        )
+        gossip.listeners.append(self)
+        core.on_settings.append(self._configure)
+
+    def start(self) -> None:
+        """Start the timers."""
+        self._core.tasks.every(lambda: TICK_S, self._tick, "dispatch")
+        self.leases.start()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._sessions.close()
+
+    def client(self, engine: str) -> EngineClient | None:
+        """Return the client of an engine, or None if the settings do not list it."""
+        return self._clients.get(engine)
+
+    def upstream_changed(self, change: UpstreamChanged) -> None:
+        """Take a new state of an upstream."""
+        self.dispatcher.set_state(change.upstream, change.state.value)
+
+    async def place(self, work: Work) -> Placement:
+        """Wait until a prompt is placed or refused."""
+        waiting: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
+        self._waiting[work.request_id] = waiting
+        self._perform(self.dispatcher.arrive(work, self._core.now()))
+        try:
+            return await waiting
+        finally:
+            del self._waiting[work.request_id]
+
+    def cancelled(self, request_id: str) -> None:
+        """Forget a prompt that still waits."""
+        self.dispatcher.cancelled(request_id)
+
+    async def reserve_group(self, place: PlaceGroup, deadline: float) -> Failure | None:
+        """Reserve all parts of a group before its prompt is sent."""
+        remaining = max(0.001, deadline - self._core.now())
+        return await self.leases.reserve_group(
+            place.request_id, place.engines, place.part_tokens, remaining
+        )
+
+    def reservation(self, place: PlaceGroup, engine: str) -> str:
+        """Return the identifier of a part's reservation."""
+        return self.leases.groups.holding_id(place.request_id, engine)
+
+    def group_started(self, place: PlaceGroup, engine: str) -> None:
+        """Learn that the stream on the leading engine took over its part."""
+        self.leases.groups.started(place.request_id, engine)
+
+    def hold(self, engine: str, holding_id: str) -> bool:
+        """Enter a lease before a request is sent; false at the bound."""
+        return self.leases.hold(engine, holding_id)
+
+    def release(self, engine: str, holding_id: str) -> None:
+        """Cancel a request on an engine until the engine confirms it."""
+        self.leases.release(engine, holding_id)
+
+    def freed(self, engine: str, holding_id: str) -> None:
+        """Learn that an engine holds nothing for a request."""
+        self.leases.freed(engine, holding_id)
+
+    def first_token(self, request_id: str, engine: str) -> None:
+        """Learn from the first token of a prompt."""
+        self.dispatcher.first_token(request_id, engine, self._core.now())
+
+    def moved(self, request_id: str, engine: str) -> None:
+        """Learn that a prompt continues on another engine."""
+        self.dispatcher.moved(request_id, engine, self._core.now())
+
+    def succeeded(self, engine: str) -> None:
+        """Learn that an engine completed an answer."""
+        self._poll_failures[engine] = 0
+        self._gossip.upstream_trusted(engine)
+
+    def failed(self, engine: str) -> None:
+        """Learn that an attempt failed because of its engine."""
+        self.dispatcher.failed(engine)
+
+    def answered(self, engine: str, is_leaving: bool) -> None:
+        """Take in what an engine says of itself."""
+        self._gossip.upstream_answered(engine, is_leaving)
+
+    def finished(
+        self, request_id: str, place: Placement, tokens: int, decode_s: float
+    ) -> None:
+        """Record the end of a placed prompt."""
+        if isinstance(place, PlaceGroup):
+            self.leases.finish_group(request_id)
+        now = self._core.now()
+        self._perform(self.dispatcher.finished(request_id, tokens, decode_s, now))
+
+    def _configure(self, settings: Settings) -> None:
+        engines = {
+            name: upstream
+            for name, upstream in settings.upstreams.items()
+            if isinstance(upstream, EngineUpstream)
+        }
+        for name in [name for name in self._clients if name not in engines]:
+            del self._clients[name]
+            self.leases.book.forget(name)
+        for name, upstream in engines.items():
+            if self._urls.get(name) != upstream.url or name not in self._clients:
+                self._clients[name] = self._make_client(upstream)
+                self._urls[name] = upstream.url
+        region = self._core.region
+        domains = settings.failure_domains
+        usable = {
+            name: upstream
+            for name, upstream in engines.items()
+            if domains[upstream.failure_domain].region == region
+        }
+        self.dispatcher.configure(settings, usable, self._core.now())
+        self._poll_reach()
+
+    def _make_client(self, upstream: EngineUpstream) -> EngineClient:
+        match upstream.adapter:
+            case "reference":
+                return HttpEngineClient(self._sessions, upstream.url)
+
+    def _poll_reach(self) -> None:
+        reach = set(self.dispatcher.engines)
+        for name in [name for name in self._polls if name not in reach]:
+            self._polls.pop(name).cancel()
+        for name in reach - self._polls.keys():
+            self._polls[name] = self._core.tasks.spawn(self._poll(name), "poll-engine")
+
+    async def _poll(self, engine: str) -> None:
+        """Ask an engine for its load and cache events until it is out of reach."""
+        # A random start keeps nodes that start together from asking together.
+        await asyncio.sleep(LOAD_INTERVAL_S * self._core.random.random())
+        next_events, from_seq = 0.0, 0
+        while True:
+            client = self._clients.get(engine)
+            if client is not None:
+                await self._ask_load(engine, client)
+                if self._core.now() >= next_events:
+                    from_seq = await self._ask_events(engine, client, from_seq)
+                    next_events = self._core.now() + EVENTS_INTERVAL_S
+            await asyncio.sleep(
+                LOAD_INTERVAL_S * (0.75 + self._core.random.random() / 2)
+            )
+
+    async def _ask_load(self, engine: str, client: EngineClient) -> None:
+        result = await client.load(CALL_TIMEOUT_S)
+        now = self._core.now()
+        if result.is_error():
+            failures = self._poll_failures.get(engine, 0) + 1
+            self._poll_failures[engine] = failures
+            if failures >= FAILURES_TO_SUSPECT:
+                self._gossip.upstream_suspected(engine)
+            return
+        self._poll_failures[engine] = 0
+        load = result.ok
+        self._gossip.upstream_answered(engine, load.leaving)
+        report = LoadReport(
+            engine,
+            load.age_s,
+            {0: float(load.queued_prefill_tokens)},
+            float(load.kv_tokens_used),
+            load.running_requests,
+        )
+        self.dispatcher.loads.report(report, now)
+        self._perform(self.dispatcher.pump(now))
+
+    async def _ask_events(
+        self, engine: str, client: EngineClient, from_seq: int
+    ) -> int:
+        result = await client.cache_events(from_seq, CALL_TIMEOUT_S)
+        if result.is_error():
+            return from_seq
+        for event in result.ok:
+            added = event.hashes if event.action == "stored" else ()
+            removed = event.hashes if event.action == "removed" else ()
+            self.dispatcher.prefixes.apply(
+                CacheEvent(engine, event.seq, added, removed)
+            )
+            from_seq = max(from_seq, event.seq + 1)
+        return from_seq
+
+    async def _tick(self) -> None:
+        actions, changes = self.dispatcher.tick(self._core.now())
+        for change in changes:
+            match change:
+                case Ejected(engine, reason):
+                    log.warning("ejected", extra={"engine": engine, "reason": reason})
+                case Returned(engine):
+                    log.info("returned", extra={"engine": engine})
+        self._perform(actions)
+
+    def _perform(self, actions: list[DispatchAction]) -> None:
+        for action in actions:
+            if isinstance(action, Place):
+                self._record(action)
+            waiting = self._waiting.get(action.request_id)
+            if waiting is not None and not waiting.done():
+                waiting.set_result(action)
+            elif not isinstance(action, Refuse):
+                # The caller left in the same step; nothing was sent.
+                now = self._core.now()
+                self._perform(self.dispatcher.finished(action.request_id, 0, 0.0, now))
+
+    def _record(self, place: Place) -> None:
+        policy = self._core.settings.routing
+        self._core.record(
+            ROUTE,
+            RouteInput(place.request, place.candidates, policy, place.seed),
+            place.choice,
+        )
--- a/packages/dandelionpond/src/dandelionpond/runtime/gossip.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/gossip.py
@@ -62,6 +62,8 @@
         self._peers = peers
         self._accounts = accounts
         self._demands: dict[str, tuple[float, tuple[Demand, ...]]] = {}
+        # When a peer's message last arrived, in monotonic seconds.
+        self.heard_at = float("-inf")
         self.settings_events: SettingsEvents | None = None
         self.listeners: list[UpstreamListener] = []
         self.membership = Membership(
@@ -194,7 +196,7 @@
             self._accounts.granted(name, grant, asked_at)
 
     def _received(self, exchange: Exchange, is_reply: bool) -> None:
-        now = self._core.now()
+        now = self.heard_at = self._core.now()
         self._perform(self.membership.received(exchange, now, is_reply))
         if self.settings_events is not None and exchange.settings_revision:
             event = PeerRevision(
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/runtime/state.py
@@ -0,0 +1,203 @@
+"""Show operators what a node knows, without keys and prompt text."""
+
+import asyncio
+import resource
+from collections.abc import AsyncIterator
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from dandelionpond import __version__
+from dandelionpond.runtime.core import Core
+
+if TYPE_CHECKING:
+    from dandelionpond.node import Node
+
+FOLLOW_INTERVAL_S = 0.2
+
+
+class StateView:
+    """Build status, dump and usage from the slices of a node."""
+
+    def __init__(self, core: Core, node: "Node") -> None:
+        self._core = core
+        self._node = node
+        self._register_metrics()
+
+    def status(self) -> dict[str, object]:
+        """Return a summary that fits one line of a table."""
+        core, node = self._core, self._node
+        membership = node.gossip.membership
+        states: dict[str, int] = {}
+        for peer in membership.peers:
+            states[peer.state] = states.get(peer.state, 0) + 1
+        refusal = core.keeper.refusal
+        return {
+            "node": core.local.name,
+            "incarnation": core.identity.incarnation,
+            "version": __version__,
+            "failure_domain": core.local.failure_domain,
+            "phase": node.shutdown.drain.phase,
+            "ready": node.ready,
+            "settings_revision": core.keeper.revision,
+            "settings_digest": core.digest,
+            "settings_refused": refusal.revision if refusal else None,
+            "reader": node.distribution.distribution.is_reader,
+            "peers": states,
+            "prompts_in_flight": node.prompts.in_flight,
+            "calls_in_flight": node.calls.in_flight,
+            "queued": len(node.engines.dispatcher.queue),
+        }
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of every slice."""
+        core, node = self._core, self._node
+        now = core.now()
+        refusal = core.keeper.refusal
+        return {
+            "status": self.status(),
+            "config": {
+                "revision": core.keeper.revision,
+                "digest": core.digest,
+                "files": [entry.name for entry in core.keeper.manifest()],
+                "refusal": None
+                if refusal is None
+                else {
+                    "revision": refusal.revision,
+                    "errors": [msgspec.to_builtins(e) for e in refusal.errors],
+                },
+                "readers": node.distribution.distribution.readers,
+            },
+            "membership": {
+                "is_fresh": node.gossip.membership.is_fresh,
+                "peers": [
+                    {
+                        "name": peer.name,
+                        "state": peer.state,
+                        "failure_domain": peer.domain,
+                        "address": peer.address,
+                    }
+                    for peer in node.gossip.membership.peers
+                ],
+                "upstreams": {
+                    name: node.gossip.upstreams.state_of(name)
+                    for name in core.settings.upstreams
+                },
+            },
+            "routing": {
+                "engines": self._engines(now),
+                "queued": len(node.engines.dispatcher.queue),
+                "queued_tokens": node.engines.dispatcher.queue.tokens,
+                "in_flight": node.engines.dispatcher.in_flight,
+                "groups": node.engines.dispatcher.groups,
+            },
+            "limits": {
+                account: {
+                    "in_flight": node.accounts.limiter.in_flight(account),
+                    "share": msgspec.to_builtins(
+                        node.accounts.shares.share(account, now)
+                    ),
+                    "aggregator": node.accounts.shares.aggregator(account),
+                }
+                for account in node.accounts.usage
+            },
+            "requests": {
+                "tickets": node.calls.tickets.size,
+                "outcome_bytes": node.calls.tickets.outcome_bytes,
+            },
+            "memory": {
+                "leases": len(node.engines.leases.book),
+                "pending_releases": node.engines.leases.book.pending_releases,
+                "groups": len(node.engines.leases.groups),
+            },
+            "record": {"records": len(core.recorder), "dropped": core.recorder.dropped},
+            "process": self._process(),
+            "counters": self._counters(),
+        }
+
+    def usage(self) -> dict[str, object]:
+        """Return what each client account used and was refused on this node."""
+        accounts = {
+            name: msgspec.to_builtins(usage)
+            for name, usage in self._node.accounts.usage.items()
+        }
+        return {"node": self._core.local.name, "accounts": accounts}
+
+    def explain(self, request_id: str) -> list[bytes]:
+        """Return the decision records that name a request."""
+        marker = request_id.encode()
+        return [line for line in self._core.recorder.lines() if marker in line]
+
+    async def decisions(self, follow: bool) -> AsyncIterator[bytes]:
+        """Yield the ring as JSON lines, then new records if asked to follow."""
+        subscription = self._core.recorder.subscribe() if follow else None
+        try:
+            for line in self._core.recorder.lines():
+                yield line + b"\n"
+            while subscription is not None:
+                for line in subscription.take():
+                    yield line + b"\n"
+                await asyncio.sleep(FOLLOW_INTERVAL_S)
+        finally:
+            if subscription is not None:
+                self._core.recorder.unsubscribe(subscription)
+
+    def _engines(self, now: float) -> dict[str, object]:
+        dispatcher = self._node.engines.dispatcher
+        return {
+            name: {
+                "report_age_s": min(1e9, dispatcher.loads.age_s(name, now)),
+                "free_tokens": dispatcher.loads.free_tokens(name, now),
+                "outstanding_tokens": dispatcher.loads.outstanding_tokens(name),
+                "correction": dispatcher.loads.correction(name),
+                "ejected": name in dispatcher.outliers.ejected,
+            }
+            for name in dispatcher.engines
+        }
+
+    def _process(self) -> dict[str, object]:
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return {
+            "cpu_s": usage.ru_utime + usage.ru_stime,
+            "max_rss_kb": usage.ru_maxrss,
+            "tasks": len(self._core.tasks),
+        }
+
+    def _counters(self) -> dict[str, dict[str, int]]:
+        found: dict[str, dict[str, int]] = {}
+        for name, event, count in self._core.metrics.slices.counters():
+            found.setdefault(name, {})[event] = count
+        return found
+
+    def _register_metrics(self) -> None:
+        node, core, slices = self._node, self._core, self._core.metrics.slices
+        dispatcher = node.engines.dispatcher
+
+        def struct(value: object) -> dict[str, int]:
+            counters: dict[str, int] = msgspec.to_builtins(value)
+            return counters
+
+        slices.add_counters("config", lambda: struct(core.keeper.counters))
+        slices.add_counters(
+            "distribution", lambda: struct(node.distribution.distribution.counters)
+        )
+        slices.add_counters("membership", lambda: node.gossip.membership.counts)
+        slices.add_counters("upstreams", lambda: node.gossip.upstreams.counts)
+        slices.add_counters("vm_list", lambda: node.vms.counters)
+        slices.add_counters("dispatch", lambda: dispatcher.counters)
+        slices.add_counters("tickets", lambda: struct(node.calls.tickets.counters))
+        slices.add_counters("leases", lambda: struct(node.engines.leases.book.counters))
+        slices.add_counters(
+            "groups", lambda: struct(node.engines.leases.groups.counters)
+        )
+        slices.add_counters(
+            "adoption", lambda: struct(node.engines.leases.adoption.counters)
+        )
+        slices.add_counters("tasks", lambda: core.tasks.counters)
+        slices.add_counters("record", lambda: {"dropped": core.recorder.dropped})
+        slices.add_size("peers", lambda: sum(1 for _ in node.gossip.membership.peers))
+        slices.add_size("queue", lambda: len(dispatcher.queue))
+        slices.add_size("tickets", lambda: node.calls.tickets.size)
+        slices.add_size("leases", lambda: len(node.engines.leases.book))
+        slices.add_size("records", lambda: len(core.recorder))
+        slices.add_size("settings_bytes", lambda: core.keeper.total_bytes)
