--- a/packages/dandelionpond/src/dandelionpond/config/keeper.py
+++ b/packages/dandelionpond/src/dandelionpond/config/keeper.py
@@ -1,6 +1,7 @@
 """Keep the settings in force and the files that peers may fetch."""
 
 import hashlib
+from collections import deque
 from collections.abc import Collection, Mapping
 
 import msgspec
@@ -11,6 +12,9 @@
 MAX_TOTAL_BYTES = 64_000_000
 # One line for each error is enough for an operator; more would only fill the status.
 MAX_KEPT_ERRORS = 1_000
+# At 45,000 changes a day this covers two minutes; a peer further behind sends the
+# hashes that it holds.
+MAX_STEPS = 64
 
 
 class Accepted(msgspec.Struct, frozen=True, tag=True):
@@ -53,6 +57,20 @@
     content: bytes
 
 
+class FolderDelta(msgspec.Struct, frozen=True):
+    """Carry the changes from one folder to another; both are named by folder hash."""
+
+    base: str
+    folder_hash: str
+    changed: tuple[FileContent, ...]
+    removed: tuple[str, ...]
+
+
+class _Step(msgspec.Struct, frozen=True):
+    base: str
+    names: frozenset[str]
+
+
 class Refusal(msgspec.Struct, frozen=True):
     """Keep the last refused revision for the status; `at` is in monotonic seconds."""
 
@@ -90,6 +108,7 @@
         "_merger",
         "_refusal",
         "_revision",
+        "_steps",
         "counters",
     )
 
@@ -104,6 +123,7 @@
         self._contents: dict[str, bytes] = {}
         self._folder_hash = ""
         self._refusal: Refusal | None = None
+        self._steps: deque[_Step] = deque(maxlen=MAX_STEPS)
 
     @property
     def revision(self) -> int:
@@ -120,6 +140,11 @@
         """Return the digest of the settings in force, or an empty string."""
         return self._merged.digest if self._merged else ""
 
+    @property
+    def folder_hash(self) -> str:
+        """Return the hash over names and contents in force, or an empty string."""
+        return self._folder_hash
+
     @property
     def accepted_at(self) -> float | None:
         """Return when the revision in force was accepted, in monotonic seconds."""
@@ -158,6 +183,13 @@
                 self._merged = merged
             case Result(error=errors):
                 return self._refuse(revision, folder_hash, errors, now)
+        if self._revision:
+            names = {
+                name
+                for name in self._hashes.keys() | hashes.keys()
+                if self._hashes.get(name) != hashes.get(name)
+            }
+            self._steps.append(_Step(self._folder_hash, frozenset(names)))
         self._revision, self._accepted_at = revision, now
         self._files, self._hashes, self._folder_hash = dict(files), hashes, folder_hash
         self._contents = {hashes[name]: content for name, content in files.items()}
@@ -208,6 +240,42 @@
             files[entry.name] = content
         return Ok(files)
 
+    def changes_since(self, base: str) -> FolderDelta | None:
+        """Return the changes from a recent folder, or None if it is not known.
+
+        With many files it is far smaller than a manifest and the hashes held.
+        """
+        names: set[str] = set()
+        if base != self._folder_hash:
+            for step in reversed(self._steps):
+                names |= step.names
+                if step.base == base:
+                    break
+            else:
+                return None
+        changed = tuple(
+            FileContent(name, self._hashes[name], self._files[name])
+            for name in sorted(names)
+            if name in self._files
+        )
+        removed = tuple(sorted(names - self._files.keys()))
+        return FolderDelta(base, self._folder_hash, changed, removed)
+
+    def apply(self, delta: FolderDelta) -> Result[dict[str, bytes], str]:
+        """Build a folder from the files in force and a peer's changes.
+
+        An error says that the changes do not fit; fetch by hash in that case.
+        """
+        if delta.base != self._folder_hash:
+            return Error("the changes start from another folder")
+        files = {n: c for n, c in self._files.items() if n not in delta.removed}
+        files |= {item.name: item.content for item in delta.changed}
+        if sum(map(len, files.values())) > MAX_TOTAL_BYTES:
+            return Error(f"the folder has more than {MAX_TOTAL_BYTES} bytes")
+        if _folder_hash(self._hash_files(files)) != delta.folder_hash:
+            return Error("the changes do not give the folder that they name")
+        return Ok(files)
+
     def _hash_files(self, files: Mapping[str, bytes]) -> dict[str, str]:
         return {
             name: self._hashes[name]
--- a/packages/dandelionpond/src/dandelionpond/config/parse.py
+++ b/packages/dandelionpond/src/dandelionpond/config/parse.py
@@ -14,7 +14,9 @@
 MAX_DEPTH = 32
 
 _FILE_NAME = re.compile(r"[0-9]{2}-[A-Za-z0-9][A-Za-z0-9._-]{0,119}\.json")
-_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"', re.DOTALL)
+# The pattern also ends at the end of the data and never backtracks, so that it takes
+# linear time on an unterminated string of escaped quotes.
+_STRING = re.compile(rb'"(?:[^"\\]|\\.?)*+(?:"|\Z)', re.DOTALL)
 _BRACKET = re.compile(rb"[\[\]{}]")
 
 
--- a/packages/dandelionpond/src/dandelionpond/config/tests/test_distribution.py
+++ b/packages/dandelionpond/src/dandelionpond/config/tests/test_distribution.py
@@ -198,7 +198,53 @@
         assert max(times) - min(times) > 2.0
 
 
+class TestRandomEvents:
+    def test_never_back_and_no_answer_from_before_a_pause(self):
+        """Guard against an order of events that brings an older revision into force."""
+        rng = random.Random(11)
+        for seed in range(60):
+            reader, now, calls = node(rng.choice(RANKED), seed=seed), 0.0, [0]
+            highest = 0
+            for _ in range(200):
+                paused = rng.random() < 0.05
+                now += 10.0 if paused else rng.uniform(0.0, 1.0)
+                event = rng.choice(
+                    [
+                        Tick(),
+                        PeersChanged(tuple(rng.sample(PEERS, rng.randint(0, 6)))),
+                        PeerRevision(rng.choice(NAMES), rng.randint(0, 9), "d"),
+                        WatchAnswered(rng.choice(calls[-4:]), rng.randint(0, 9)),
+                        FolderRead(rng.choice(calls[-4:]), rng.randint(0, 9)),
+                        PeerFetched(rng.choice(calls[-4:]), rng.randint(0, 9)),
+                        PlatformFailed(rng.choice(calls[-4:])),
+                        PeerFailed(rng.choice(calls[-4:])),
+                    ]
+                )
+                actions = reader.handle(event, now)
+                if paused:
+                    assert not only(actions, Offer)
+                for offer in only(actions, Offer):
+                    assert offer.revision > highest
+                    outcome = rng.choice([Outcome.ACCEPTED, Outcome.REFUSED])
+                    actions += reader.handle(Offered(offer.revision, outcome, "d"), now)
+                assert reader.revision >= highest
+                highest = reader.revision
+                if not reader.is_reader or reader.in_doubt:
+                    assert not only(actions, ReadFolder) + only(actions, WatchPlatform)
+                calls += [a.call for a in actions if hasattr(a, "call")]
+
+
 class TestFleet:
+    def test_platform_with_lower_numbers(self):
+        """Guard against a fleet that follows a platform back."""
+        fleet = Fleet(60, domains=2, seed=5)
+        fleet.platform_revision = 50
+        fleet.run(10.0)
+        fleet.platform_revision = 3
+        fleet.run(60.0)
+        assert set(fleet.revisions()) == {50}
+        assert fleet.older_refused() > 0
+
     def test_platform_outage(self):
         """Guard against a rush on the platform when it returns."""
         fleet = Fleet(400, domains=8, seed=3)
--- a/packages/dandelionpond/src/dandelionpond/config/tests/test_keeper.py
+++ b/packages/dandelionpond/src/dandelionpond/config/tests/test_keeper.py
@@ -1,5 +1,7 @@
 """Test which revision is in force."""
 
+import msgspec
+
 from dandelionpond.config import keeper as keeper_module
 from dandelionpond.config.keeper import Accepted, Refused, SettingsKeeper, Stale
 
@@ -62,3 +64,31 @@
         wrong = [keeper_module.FileContent("x", i.hash, b"?") for i in received]
         fresh = SettingsKeeper()
         assert fresh.assemble(source.manifest(), wrong).is_error()
+
+    def test_changes_since_a_recent_folder(self):
+        """Guard against changes that give another folder than the source holds."""
+        three = {"20-b.json": TWO["20-b.json"], "30-c.json": b"{}"}
+        source, target = SettingsKeeper(), SettingsKeeper()
+        target.offer(1, ONE, 0.0)
+        for revision, files in enumerate((ONE, TWO, three), 1):
+            source.offer(revision, files, 0.0)
+        delta = source.changes_since(target.folder_hash)
+        assert [item.name for item in delta.changed] == ["20-b.json", "30-c.json"]
+        assert delta.removed == ("10-a.json",)
+        assert target.apply(delta).ok == three
+        assert source.apply(delta).is_error()
+        wrong = msgspec.structs.replace(delta, removed=())
+        assert target.apply(wrong).is_error()
+        assert source.changes_since("unknown") is None
+        assert source.changes_since(source.folder_hash).changed == ()
+
+    def test_steps_are_bounded(self):
+        """Guard against a history that grows with each revision."""
+        keeper = SettingsKeeper()
+        bases = []
+        for revision in range(1, keeper_module.MAX_STEPS + 4):
+            text = f'{{"limits": {{"max_queue": {revision}}}}}'
+            keeper.offer(revision, {"10-a.json": text.encode()}, 0.0)
+            bases.append(keeper.folder_hash)
+        assert keeper.changes_since(bases[0]) is None
+        assert keeper.changes_since(bases[2]).changed[0].content
--- a/packages/standins/src/dandelionpond_standins/distribution_bench.py
+++ b/packages/standins/src/dandelionpond_standins/distribution_bench.py
@@ -88,6 +88,10 @@
         """Return the revision in force on each node."""
         return [node.revision for node in self._nodes]
 
+    def older_refused(self) -> int:
+        """Return how many older revisions the nodes refused."""
+        return sum(node.counters.older_refused for node in self._nodes)
+
     def publish(self) -> None:
         """Publish one more revision and answer the waiting watches."""
         self.platform_revision += 1
@@ -189,7 +193,7 @@
             self._send(PLATFORM_S, i, answer)
         else:
             self._waiting.append((i, call, from_revision))
-            self._send(wait_s, i, m.WatchAnswered(call, from_revision))
+            self._send(wait_s, i, m.WatchAnswered(call, self.platform_revision))
 
 
 def _report(name: str, fleet: Fleet, start: float) -> None:
