--- a/packages/dandelionpond/src/dandelionpond/config/merge.py
+++ b/packages/dandelionpond/src/dandelionpond/config/merge.py
@@ -23,12 +23,11 @@
     join,
 )
 from dandelionpond.config.origins import file_of, origins_of
-from dandelionpond.config.parse import Parsed, parse_file
+from dandelionpond.config.parse import COLLECTIONS, Parsed, parse_file
 from dandelionpond.config.schema import ClientAccount, Settings
 
 __all__ = ["Merged", "Merger", "SettingsError", "merge_folder"]
 
-COLLECTIONS = ("failure_domains", "client_accounts", "models", "services", "upstreams")
 _ACCOUNTS = "client_accounts"
 
 # A section and the name of a member, which is empty where the section is one unit.
@@ -39,45 +38,46 @@
 class Merged:
     """Hold merged settings; `digest` is BLAKE2b-256 over the canonical JSON.
 
-    `document` shares its parts with later merges and must not be changed.
+    `document` and `origins` are computed at each use, because only operators read them.
     """
 
-    __slots__ = ("_files", "_origins", "digest", "document", "settings")
+    __slots__ = ("_files", "digest", "settings")
 
     def __init__(
-        self,
-        settings: Settings,
-        document: dict[str, Any],
-        digest: str,
-        files: dict[str, Parsed],
+        self, settings: Settings, digest: str, files: dict[str, Parsed]
     ) -> None:
         self.settings = settings
-        self.document = document
         self.digest = digest
         self._files = files
-        self._origins: dict[str, str] | None = None
 
     @property
-    def origins(self) -> dict[str, str]:
-        """Return the file of each leaf path; an empty object has no leaf.
+    def document(self) -> dict[str, Any]:
+        """Return the merged JSON document."""
+        documents = [item.decode() for item in self._files.values()]
+        merged: dict[str, Any] = json_merge_patch.merge({}, *documents)
+        return merged
 
-        It is computed at the first use, because only operators read it.
-        """
-        if self._origins is None:
-            parts = [(name, item.document) for name, item in self._files.items()]
-            self._origins = origins_of("", parts)
-        return self._origins
+    @property
+    def origins(self) -> dict[str, str]:
+        """Return the file of each leaf path; an empty object has no leaf."""
+        parts = [(name, item.decode()) for name, item in self._files.items()]
+        return origins_of("", parts)
 
 
 class _Section:
-    """Hold the merged and checked members of one section by name."""
+    """Hold the merged and checked members of one section by name.
 
-    __slots__ = ("errors", "files", "names", "parts", "texts", "typed", "values")
+    `sources` names the files that have a part of a member, `texts` is its canonical
+    JSON and `whole` the value of a section that is one unit. A member that is present
+    has either a typed value and a text or errors.
+    """
+
+    __slots__ = ("errors", "files", "names", "sources", "texts", "typed", "whole")
 
     def __init__(self) -> None:
         self.files = 0
-        self.parts: dict[str, dict[str, Any]] = {}
-        self.values: dict[str, Any] = {}
+        self.sources: dict[str, tuple[str, ...]] = {}
+        self.whole: Any = None
         self.typed: dict[str, Any] = {}
         self.texts: dict[str, bytes] = {}
         self.errors: dict[str, list[SettingsError]] = {}
@@ -85,16 +85,15 @@
 
     def clear(self, name: str) -> None:
         """Forget the merged value of a member."""
-        if name in self.values:
-            del self.values[name]
-            self.names = None
+        self.names = None
+        self.whole = None
         for table in (self.typed, self.texts, self.errors):
             table.pop(name, None)
 
     def text(self) -> bytes:
         """Return the members as canonical JSON text, sorted by name."""
         if self.names is None:
-            self.names = sorted(self.values)
+            self.names = sorted(self.texts)
         return b",".join([self.texts[name] for name in self.names])
 
 
@@ -108,6 +107,7 @@
 
     __slots__ = (
         "_cross",
+        "_documents",
         "_files",
         "_hash_uses",
         "_irregular",
@@ -123,6 +123,7 @@
 
     def _reset(self) -> None:
         self._files: dict[str, Parsed] = {}
+        self._documents: dict[str, dict[str, Any]] = {}
         self._odd: dict[str, Parsed] = {}
         self._sections: dict[str, _Section] = {}
         self._irregular: frozenset[str] = frozenset()
@@ -149,9 +150,9 @@
         odd = {name: item for name, item in self._odd.items() if name in parsed}
         for name in changed:
             odd.pop(name, None)
-            if name in parsed and (parsed[name].errors or _irregular(parsed[name])):
+            if name in parsed and (parsed[name].errors or parsed[name].irregular):
                 odd[name] = parsed[name]
-        irregular = frozenset(s for item in odd.values() for s in _irregular(item))
+        irregular = frozenset(s for item in odd.values() for s in item.irregular)
         if irregular != self._irregular:
             self._reset()
             self._irregular = irregular
@@ -169,21 +170,32 @@
             if section.typed
         }
         errors += self._cross_check(fields, dirty)
+        self._documents = {}
         if errors:
             return Error(sorted(set(errors)))
-        document, digest = self._document()
-        return Ok(Merged(Settings(**fields), document, digest, parsed))
+        return Ok(Merged(Settings(**fields), self._digest(), parsed))
 
     def _by_member(self, section: str) -> bool:
         return section in COLLECTIONS and section not in self._irregular
 
-    def _parts(self, document: dict[str, Any]) -> Iterable[tuple[Key, Any]]:
+    def _keys(self, document: dict[str, Any]) -> Iterable[Key]:
         for section, value in document.items():
             if self._by_member(section):
-                for name, item in value.items():
-                    yield (section, name), item
+                for name in value:
+                    yield section, name
             else:
-                yield (section, ""), value
+                yield section, ""
+
+    def _parts(self, key: Key) -> list[tuple[str, Any]]:
+        """Return each file with its part of a member, in merge order."""
+        section, name = key
+        found: list[tuple[str, Any]] = []
+        for file in self._sections[section].sources[name]:
+            if file not in self._documents:
+                self._documents[file] = self._files[file].decode()
+            part = self._documents[file][section]
+            found.append((file, part[name] if self._by_member(section) else part))
+        return found
 
     def _replace_files(
         self, parsed: dict[str, Parsed], changed: Iterable[str]
@@ -192,16 +204,22 @@
         for file in changed:
             old, new = self._files.get(file), parsed.get(file)
             if old is not None:
-                for section in old.document:
+                document = old.decode()
+                for section in document:
                     self._sections[section].files -= 1
-                for (section, name), _ in self._parts(old.document):
-                    self._sections[section].parts[name].pop(file)
+                for section, name in self._keys(document):
+                    sources = self._sections[section].sources
+                    sources[name] = tuple(f for f in sources[name] if f != file)
                     dirty.add((section, name))
             if new is not None:
-                for section in new.document:
+                document = self._documents[file] = new.decode()
+                only = (file,)
+                for section in document:
                     self._sections.setdefault(section, _Section()).files += 1
-                for (section, name), part in self._parts(new.document):
-                    self._sections[section].parts.setdefault(name, {})[file] = part
+                for section, name in self._keys(document):
+                    sources = self._sections[section].sources
+                    held = sources.get(name)
+                    sources[name] = tuple(sorted({*held, file})) if held else only
                     dirty.add((section, name))
         self._files = parsed
         return dirty
@@ -212,25 +230,25 @@
         by_member = self._by_member(section_name)
         if section_name == _ACCOUNTS and by_member:
             self._count_hashes(section.typed.get(name), -1)
-        previous = section.values.get(name)
-        parts = section.parts[name]
+        parts = self._parts(key)
         merged = _merge_parts(parts)
-        if previous is None or "v" not in merged:
+        if name not in section.texts or "v" not in merged:
             section.clear(name)
-            section.names = None
         if section_name == _ACCOUNTS:
             self._several.discard(name)
             if len(parts) > 1:
                 self._several.add(name)
         if not parts:
-            del section.parts[name]
+            del section.sources[name]
         if "v" not in merged:
             return
-        value = section.values[name] = merged["v"]
+        value = merged["v"]
+        section.whole = None if by_member else value
         section.errors.pop(name, None)
         section.typed.pop(name, None)
         kind = _KINDS.get(section_name)
         if kind is None:
+            section.clear(name)
             problems = [(join("", section_name), "unknown field")]
             section.errors[name] = self._locate(key, problems)
             return
@@ -238,6 +256,8 @@
         try:
             typed = msgspec.convert(whole, kind)
         except msgspec.ValidationError:
+            section.names = None
+            section.texts.pop(name, None)
             problems = collect(kind, whole, section_name)
             section.errors[name] = self._locate(key, problems)
             return
@@ -267,8 +287,7 @@
         path = join("", section)
         if self._by_member(section):
             path = join(path, name)
-        found = self._sections[section].parts[name]
-        parts = [(file, found[file]) for file in sorted(found)]
+        parts = self._parts((section, name))
         origins = origins_of(path, parts)
         return [
             SettingsError(file_of(where, origins, parts[-1][0]), where, reason)
@@ -280,9 +299,8 @@
         if held is None:
             return set()
         if self._by_member(section):
-            return set(held.values)
-        value = held.values.get("")
-        return set(value) if isinstance(value, dict) else set()
+            return held.texts.keys() | held.errors.keys()
+        return set(held.whole) if isinstance(held.whole, dict) else set()
 
     def _cross_check(
         self, fields: dict[str, Any], dirty: set[Key]
@@ -318,16 +336,14 @@
         definers: dict[str, list[str]] = {}
         if _ACCOUNTS in self._irregular:
             for file, parsed in self._files.items():
-                part = parsed.document.get(_ACCOUNTS)
+                part = parsed.decode().get(_ACCOUNTS)
                 for name, value in part.items() if isinstance(part, dict) else ():
                     if value is not None:
                         definers.setdefault(name, []).append(file)
         elif _ACCOUNTS in self._sections:
-            parts = self._sections[_ACCOUNTS].parts
             for name in self._several:
-                definers[name] = sorted(
-                    file for file, part in parts[name].items() if part is not None
-                )
+                parts = self._parts((_ACCOUNTS, name))
+                definers[name] = [file for file, part in parts if part is not None]
         return [
             SettingsError(
                 file, join(_ACCOUNTS, name), f"account is already defined in {files[0]}"
@@ -336,8 +352,7 @@
             for file in files[1:]
         ]
 
-    def _document(self) -> tuple[dict[str, Any], str]:
-        document: dict[str, Any] = {}
+    def _digest(self) -> str:
         hasher = hashlib.blake2b(b"{", digest_size=32)
         separator = b""
         for name in sorted(self._sections):
@@ -346,17 +361,14 @@
                 continue
             text = section.text()
             if self._by_member(name):
-                document[name] = dict(section.values)
                 text = msgspec.json.encode(name) + b":{" + text + b"}"
-            elif section.values:
-                document[name] = section.values[""]
-            else:
+            elif not text:
                 continue
             hasher.update(separator)
             hasher.update(text)
             separator = b","
         hasher.update(b"}")
-        return document, hasher.hexdigest()
+        return hasher.hexdigest()
 
 
 def merge_folder(files: Mapping[str, bytes]) -> Result[Merged, list[SettingsError]]:
@@ -364,23 +376,14 @@
     return Merger().merge(files)
 
 
-def _irregular(parsed: Parsed) -> list[str]:
-    """Return the collections for which a file has another value than an object."""
-    return [
-        section
-        for section in COLLECTIONS
-        if not isinstance(parsed.document.get(section, {}), dict)
-    ]
-
-
-def _merge_parts(parts: Mapping[str, Any]) -> dict[str, Any]:
+def _merge_parts(parts: list[tuple[str, Any]]) -> dict[str, Any]:
     """Return `{"v": value}`, or an empty object if the patches leave no value."""
     if len(parts) == 1:
-        [part] = parts.values()
+        [(_, part)] = parts
         if not _has_null(part):
-            # A patch without null is its own result; sharing it saves a copy.
+            # A patch without null is its own result; this saves a copy.
             return {"v": part}
-    patches = [{"v": parts[file]} for file in sorted(parts)]
+    patches = [{"v": part} for _, part in parts]
     merged: dict[str, Any] = json_merge_patch.merge({}, *patches)
     return merged
 
--- a/packages/dandelionpond/src/dandelionpond/config/parse.py
+++ b/packages/dandelionpond/src/dandelionpond/config/parse.py
@@ -8,6 +8,8 @@
 
 from dandelionpond.config.check import Problem, SettingsError, join
 
+COLLECTIONS = ("failure_domains", "client_accounts", "models", "services", "upstreams")
+
 MAX_FILE_BYTES = 1_000_000
 # Python's own recursion limit depends on the caller's stack depth, so nesting is
 # bounded by a number that is the same on every node.
@@ -21,11 +23,20 @@
 
 
 class Parsed(msgspec.Struct, frozen=True):
-    """Hold the object of a file, or the errors that exclude it."""
+    """Hold a file that was checked, or the errors that exclude it.
+
+    `irregular` names the collections for which the file has another value than an
+    object. Decoded objects take four times the memory of the text and are not kept.
+    """
 
     data: bytes
-    document: dict[str, Any]
     errors: tuple[SettingsError, ...] = ()
+    irregular: tuple[str, ...] = ()
+
+    def decode(self) -> dict[str, Any]:
+        """Return the object of the file, empty if the file is excluded."""
+        document: dict[str, Any] = {} if self.errors else msgspec.json.decode(self.data)
+        return document
 
 
 class _Pairs(list[tuple[str, Any]]):
@@ -33,16 +44,21 @@
 
 
 def parse_file(name: str, data: bytes) -> Parsed:
-    """Parse a file; an excluded file has an empty document and at least one error."""
+    """Parse a file; an excluded file has at least one error."""
     reasons = _refusals(name, data)
     if reasons:
         errors = tuple(SettingsError(name, path, reason) for path, reason in reasons)
-        return Parsed(data, {}, errors)
+        return Parsed(data, errors)
     document = msgspec.json.decode(data)
     if not isinstance(document, dict):
         error = SettingsError(name, "", "the file does not hold a JSON object")
-        return Parsed(data, {}, (error,))
-    return Parsed(data, document)
+        return Parsed(data, (error,))
+    irregular = tuple(
+        section
+        for section in COLLECTIONS
+        if not isinstance(document.get(section, {}), dict)
+    )
+    return Parsed(data, (), irregular)
 
 
 def _refusals(name: str, data: bytes) -> list[Problem]:
