--- a/packages/dandelionpond/src/dandelionpond/membership/peers.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/peers.py
@@ -22,7 +22,7 @@
     UpstreamHeard,
 )
 from dandelionpond.membership.own import OwnState
-from dandelionpond.membership.rumors import RumorQueue
+from dandelionpond.membership.rumors import RelayPace, RumorQueue
 from dandelionpond.membership.settings import MembershipSettings
 from dandelionpond.membership.table import EPOCH, Peer, PeerTable
 
@@ -38,11 +38,12 @@
         "_domain",
         "_exchanges",
         "_identity",
+        "_is_fresh",
         "_last_tick",
         "_listed",
         "_next_beat",
-        "_next_relay",
         "_own",
+        "_pace",
         "_platform_revision",
         "_queue",
         "_random",
@@ -54,7 +55,6 @@
         "_table",
         "_watched",
         "counts",
-        "is_fresh",
     )
 
     def __init__(
@@ -75,7 +75,7 @@
         self._queue = RumorQueue(settings.max_pending_rumors)
         self._last_tick = now
         self._next_beat = now
-        self._next_relay: float | None = None
+        self._pace = RelayPace(settings, random, now)
         self._resumed_at = now
         self._sent_at: dict[str, float] = {}
         self._suspects: dict[str, Peer] = {}
@@ -84,16 +84,20 @@
         self._platform_revision = -1
         self._exchanges = 0
         self._settings_version = (0, "")
-        self.is_fresh = False
-        self.counts = {"pauses": 0, "stale_lists": 0, "old_messages": 0, "refuted": 0}
+        self._is_fresh = False
+        names = ("pauses", "stale_lists", "old_messages", "refuted")
+        self.counts = dict.fromkeys(names, 0)
         self._announce()
 
+    @property
+    def _pause_limit(self) -> float:
+        return self._settings.pause_intervals * self._settings.heartbeat_interval_s
+
     @property
     def wake_at(self) -> float:
         """Return the time of the next tick that has something to do."""
-        if self._next_relay is None:
-            return self._next_beat
-        return min(self._next_beat, self._next_relay)
+        due_at = self._pace.due_at
+        return self._next_beat if due_at is None else min(self._next_beat, due_at)
 
     @property
     def has_first_pass(self) -> bool:
@@ -107,6 +111,15 @@
         """Return all known peers; the caller must not change them."""
         return self._table
 
+    @property
+    def relays_deferred(self) -> int:
+        """Return how often news waited for the next heartbeat."""
+        return self._pace.deferred
+
+    def is_fresh(self, now: float) -> bool:
+        """Say whether this node has exchanged since its start or its last pause."""
+        return self._is_fresh and now - self._last_tick <= self._pause_limit
+
     def state_of(self, name: str) -> PeerState | None:
         """Return the state of a peer, or None if it is unknown."""
         peer = self._table.get(name)
@@ -124,12 +137,12 @@
     def settings_changed(self, revision: int, digest: str, now: float) -> None:
         """Carry a new settings revision in messages and relay it at once."""
         self._settings_version = (revision, digest)
-        self._schedule_relay(now)
+        self._pace.ask(now)
 
     def spread(self, rumor: Rumor, now: float) -> None:
         """Queue an observation of this node, such as one of `UpstreamView`."""
         self._queue.add(rumor, self._settings.relays)
-        self._schedule_relay(now)
+        self._pace.ask(now)
 
     def tick(self, now: float) -> list[Action]:
         """Send due heartbeats and relays, and advance suspicions."""
@@ -144,9 +157,9 @@
             self._own.heartbeat += 1
             self._expire(now, actions)
             self._send(self._targets(is_relay=False), now, actions)
-            self._next_relay = None
-        elif self._next_relay is not None and now >= self._next_relay:
-            self._next_relay = None
+            self._pace.due_at = None
+        elif self._pace.due_at is not None and now >= self._pace.due_at:
+            self._pace.due_at = None
             self._send(self._targets(is_relay=True), now, actions)
         return actions
 
@@ -170,14 +183,13 @@
             exchange.heartbeat,
             exchange.peer_address,
             exchange.failure_domain,
-            sender.name,
         )
         self._about_peer(own, now, actions)
         if is_reply:
             sent_at = self._sent_at.pop(sender.name, None)
             if sent_at is not None and sent_at >= self._resumed_at:
                 self._exchanges += 1
-                self.is_fresh = True
+                self._is_fresh = True
             peer = self._watched.pop(sender.name, None)
             if peer is not None:
                 peer.failing_since = None
@@ -249,7 +261,7 @@
             ):
                 self._set(peer, PeerState.LEAVING, now, actions)
         if not nodes:
-            self.is_fresh = True
+            self._is_fresh = True
         for peer in list(self._table) if self.has_first_pass else ():
             if peer.incarnation is None and peer.name not in self._listed:
                 self._set(peer, PeerState.GONE, now, actions)
@@ -266,13 +278,11 @@
         return actions
 
     def _notice_pause(self, now: float) -> None:
-        limit = self._settings.pause_intervals * self._settings.heartbeat_interval_s
-        slept = now - self._last_tick
-        if slept <= limit:
+        if now - self._last_tick <= self._pause_limit:
             return
         self.counts["pauses"] += 1
         self._last_tick = self._resumed_at = now
-        self.is_fresh = False
+        self._is_fresh = False
         self._sent_at.clear()
         # Refutations may have been missed, so each suspicion runs its full time again.
         for peer in self._suspects.values():
@@ -340,7 +350,7 @@
         rumors = []
         known = self._table.get(receiver)
         if known is not None and (is_old or known.state is not PeerState.LIVE):
-            rumors.append(known.rumor(self._identity.name))
+            rumors.append(known.rumor(""))
         rumors += self._queue.take(limit - len(rumors))
         # Random knowledge repairs what the bounded relays missed.
         spare = limit - len(rumors) if is_full else int(not rumors and is_request)
@@ -348,7 +358,7 @@
             is_foreign = self._random.random() < 0.5
             peer = self._table.pick(self._domain, is_foreign, self._random)
             if peer is not None and peer.incarnation and peer.name != receiver:
-                rumors.append(peer.rumor(self._identity.name))
+                rumors.append(peer.rumor(""))
         return self._own.exchange(self._settings_version, tuple(rumors))
 
     def _announce(self) -> None:
@@ -367,7 +377,7 @@
         elif state is not None and self._own.refute(incarnation, heartbeat, state):
             self.counts["refuted"] += 1
             self._announce()
-            self._schedule_relay(now)
+            self._pace.ask(now)
 
     def _about_peer(self, rumor: Rumor, now: float, actions: list[Action]) -> None:
         incarnation = (rumor.started_ms, rumor.nonce)
@@ -398,7 +408,10 @@
         peer.heartbeat = max(
             rumor.heartbeat, peer.heartbeat if incarnation == known else 0
         )
-        self._set(peer, state, now, actions, rumor.peer_address, rumor.failure_domain)
+        # Only news names its origin. Knowledge from a peer's table is not relayed: a
+        # node that learns a whole fleet would otherwise send all of it on.
+        self._table.update(peer, state, rumor.peer_address, rumor.failure_domain)
+        self._set(peer, state, now, actions, is_relayed=bool(rumor.origin))
 
     def _set(
         self,
@@ -406,10 +419,9 @@
         state: PeerState,
         now: float,
         actions: list[Action],
-        address: str = "",
-        domain: str = "",
+        is_relayed: bool = True,
     ) -> None:
-        self._table.update(peer, state, address, domain)
+        self._table.update(peer, state, "", "")
         peer.changed_at = now
         self._suspects.pop(peer.name, None)
         if state is PeerState.SUSPECT:
@@ -419,11 +431,6 @@
             self._watched.pop(peer.name, None)
         started_ms, nonce = peer.incarnation or (0, 0)
         actions.append(PeerChanged(peer.name, state, started_ms, nonce))
-        if peer.incarnation is not None or state is not PeerState.LIVE:
+        if is_relayed:
             self._queue.add(peer.rumor(self._identity.name), self._settings.relays)
-            self._schedule_relay(now)
-
-    def _schedule_relay(self, now: float) -> None:
-        if self._next_relay is None:
-            spacing = self._settings.relay_spacing_s
-            self._next_relay = now + spacing * self._random.random()
+            self._pace.ask(now)
--- a/packages/dandelionpond/src/dandelionpond/membership/rumors.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/rumors.py
@@ -1,6 +1,9 @@
 """Queue rumors for a bounded number of relays."""
 
+from random import Random
+
 from dandelionpond.membership.messages import Rumor
+from dandelionpond.membership.settings import MembershipSettings
 
 
 def key_of(rumor: Rumor) -> tuple[str, str, str]:
@@ -51,3 +54,37 @@
             else:
                 self._entries[key] = (rumor, left - 1)
         return taken
+
+
+class RelayPace:
+    """Decide when news is sent before the next heartbeat.
+
+    Each heartbeat interval earns one relay, up to `relay_burst`. Without one left the
+    next heartbeat carries the news, which bounds the cost while much changes at once.
+    """
+
+    __slots__ = ("_budget", "_earned_at", "_random", "_settings", "deferred", "due_at")
+
+    def __init__(
+        self, settings: MembershipSettings, random: Random, now: float
+    ) -> None:
+        self._settings = settings
+        self._random = random
+        self._budget = float(settings.relay_burst)
+        self._earned_at = now
+        self.due_at: float | None = None
+        self.deferred = 0
+
+    def ask(self, now: float) -> None:
+        """Set `due_at` within `relay_spacing_s`, unless the budget is used up."""
+        if self.due_at is not None:
+            return
+        settings = self._settings
+        earned = (now - self._earned_at) / settings.heartbeat_interval_s
+        self._budget = min(settings.relay_burst, self._budget + earned)
+        self._earned_at = now
+        if self._budget < 1.0:
+            self.deferred += 1
+            return
+        self._budget -= 1.0
+        self.due_at = now + settings.relay_spacing_s * self._random.random()
--- a/packages/standins/src/dandelionpond_standins/membership_bench.py
+++ b/packages/standins/src/dandelionpond_standins/membership_bench.py
@@ -27,6 +27,7 @@
     Vm,
 )
 from dandelionpond.membership.peers import Membership
+from dandelionpond.membership.rumors import RumorQueue
 from dandelionpond.membership.settings import MembershipSettings
 from dandelionpond.peer import peer_pb2 as pb
 from dandelionpond.peer.messages import PeerMessage
@@ -66,6 +67,9 @@
             known = self.vms if size <= 400 else self.random.sample(self.vms, 160)
             node.platform_list(PlatformList(1, tuple(known)), 0.0)
             node.settings_changed(45_000, DIGEST, 0.0)
+            # A fleet that has run for a while: nobody announces itself.
+            node._queue = RumorQueue(settings.max_pending_rumors)
+            node._own.heartbeat = 100 + index
             self.nodes.append(node)
             self._push(self.random.random(), index, "tick", None, 0)
 
