Encode the text that rendezvous hashing hashes

xxhash 4 refuses str with a TypeError, so score, top and owner failed on each call. Earlier xxhash hashed the UTF-8 form, which is kept.

--- a/packages/dandelionpond/src/dandelionpond/hashing.py
+++ b/packages/dandelionpond/src/dandelionpond/hashing.py
@@ -11,7 +11,7 @@
 
 def score(key: str, name: str) -> int:
     """Return the 64-bit weight of a name for a key."""
-    return xxhash.xxh3_64_intdigest(f"{key}\x00{name}")
+    return xxhash.xxh3_64_intdigest(f"{key}\x00{name}".encode())
 
 
 def top(key: str, names: Iterable[str], count: int) -> list[str]:
