--- a/packages/dandelionpond/src/dandelionpond/membership/peers.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/peers.py
@@ -216,7 +216,9 @@
         incarnation = (sender.started_ms, sender.nonce)
         is_old = known is not None and known.incarnation != incarnation
         is_new = exchange.heartbeat % EPOCH <= 5
-        return self._message(sender.name, is_full=is_new, is_old=is_old)
+        return self._message(
+            sender.name, is_full=is_new, is_old=is_old, exchange=exchange
+        )
 
     def exchange_failed(self, peer: str, now: float) -> list[Action]:
         """Count a failed exchange; suspect after failures for `suspect_after_s`."""
@@ -312,17 +314,17 @@
     def _targets(self, is_relay: bool) -> list[Peer]:
         fanout = self._settings.fanout
         chosen: dict[str, Peer] = {}
-        if not is_relay and self._watched:
+        beat = self._own.heartbeat
+        every = 2 if self._table.is_split else _GONE_RETRY_INTERVALS
+        if not is_relay and beat % every == 1 and self._table.gone:
+            peer = self._table.sample_gone(1, self._random)[0]
+            chosen[peer.name] = peer
+        elif not is_relay and self._watched:
             peer = self._watched.pop(next(iter(self._watched)))
             self._watched[peer.name] = peer
             chosen[peer.name] = peer
-        is_retry = self._own.heartbeat % _GONE_RETRY_INTERVALS == 0
-        if not is_relay and is_retry and self._table.gone:
-            names = list(self._table.gone)
-            name = names[int(self._random.random() * len(names))]
-            chosen[name] = self._table.gone[name]
         settings = self._settings
-        rotate = not is_relay and self._own.heartbeat % settings.view_rotation == 0
+        rotate = not is_relay and beat % settings.view_rotation == 0
         self._table.refresh_view(
             settings.view_size,
             self._domain,
@@ -330,6 +332,8 @@
             rotate,
             self._random,
         )
+        # One exchange at least goes to the view, whatever fails.
+        fanout = max(fanout, len(chosen) + 1)
         self._table.sample(chosen, fanout, self._domain, is_relay, self._random)
         return list(chosen.values())
 
@@ -345,15 +349,28 @@
         is_full: bool = False,
         is_old: bool = False,
         is_request: bool = False,
+        exchange: Exchange | None = None,
     ) -> Exchange:
         limit = self._settings.max_rumors
         rumors = []
         known = self._table.get(receiver)
         if known is not None and (is_old or known.state is not PeerState.LIVE):
             rumors.append(known.rumor(""))
+        if exchange is not None:
+            # The sender's knowledge that is behind this node's is corrected first.
+            rumors += self._table.corrections(exchange.rumors)[: limit // 2]
         rumors += self._queue.take(limit - len(rumors))
+        if is_request and self._table.is_split:
+            # A receiver on the other side of a healed partition corrects these.
+            asked = min(limit // 4, limit - len(rumors))
+            gone = self._table.sample_gone(asked, self._random)
+            rumors += [peer.rumor("") for peer in gone]
         # Random knowledge repairs what the bounded relays missed.
         spare = limit - len(rumors) if is_full else int(not rumors and is_request)
+        if is_request and spare and self._random.random() < 0.5:
+            gone = self._table.sample_gone(1, self._random)
+            rumors += [peer.rumor("") for peer in gone]
+            spare -= len(gone)
         for _ in range(spare):
             is_foreign = self._random.random() < 0.5
             peer = self._table.pick(self._domain, is_foreign, self._random)
@@ -400,6 +417,12 @@
             return
         if incarnation == (0, 0):
             return
+        is_away = state in (PeerState.SUSPECT, PeerState.GONE)
+        is_same = known is None or incarnation == known
+        is_held = rumor.heartbeat // EPOCH <= peer.heartbeat // EPOCH
+        if is_away and not rumor.origin and is_same and is_held:
+            # Old knowledge of a peer asks for a correction; it is no observation.
+            return
         if incarnation == known and not peer.is_news(rumor.heartbeat, state):
             if state is peer.state:
                 peer.heartbeat = max(peer.heartbeat, rumor.heartbeat)
--- a/packages/dandelionpond/src/dandelionpond/membership/table.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/table.py
@@ -1,12 +1,16 @@
 """Hold the known peers with constant-time random choice in each failure domain."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from random import Random
 
 from dandelionpond.membership.messages import PeerState, Rumor
 
 EPOCH = 1 << 32
 
+# Daily replacements leave fewer than one gone entry in 20; a lost failure domain leaves
+# at least one in 8.
+_SPLIT_SHARE = 20
+
 # Order of the states that one epoch of a heartbeat allows; later ones win.
 _RANK = {
     PeerState.LIVE: 0,
@@ -95,6 +99,29 @@
     def __iter__(self) -> Iterator[Peer]:
         return iter(self._peers.values())
 
+    @property
+    def is_split(self) -> bool:
+        """Say whether so many peers are gone that a partition is likely."""
+        return len(self.gone) * _SPLIT_SHARE > len(self._peers)
+
+    def sample_gone(self, count: int, random: Random) -> list[Peer]:
+        """Return up to `count` random gone peers."""
+        gone = list(self.gone.values())
+        return random.sample(gone, min(count, len(gone)))
+
+    def corrections(self, rumors: Iterable[Rumor]) -> list[Rumor]:
+        """Return what is held here and is newer than the given knowledge."""
+        found = []
+        for rumor in rumors:
+            peer = self._peers.get(rumor.subject)
+            if peer is None or peer.incarnation is None or rumor.subject_kind != "node":
+                continue
+            held = (peer.incarnation, peer.heartbeat // EPOCH)
+            incarnation = (rumor.started_ms, rumor.nonce)
+            if held > (incarnation, rumor.heartbeat // EPOCH):
+                found.append(peer.rumor(""))
+        return found
+
     def get(self, name: str) -> Peer | None:
         """Return the peer of that name, or None."""
         return self._peers.get(name)
--- a/packages/standins/src/dandelionpond_standins/membership_bench.py
+++ b/packages/standins/src/dandelionpond_standins/membership_bench.py
@@ -46,6 +46,9 @@
         self.nodes: list[Membership] = []
         self.messages = self.bytes = self.largest = 0
         self.heard: dict[str, dict[int, float]] = {}
+        self.dead: set[int] = set()
+        # A partition: nodes on different sides lose each other's messages.
+        self.side = [0] * size
         self._events: list[tuple[float, int, int, str, object, int]] = []
         self._sequence = 0
         self._wake = [0.0] * size
@@ -89,6 +92,8 @@
         while self._events and self._events[0][0] <= until:
             self.now, _, index, kind, data, peer = heapq.heappop(self._events)
             node = self.nodes[index]
+            if index in self.dead:
+                continue
             if kind == "tick":
                 if self._wake[index] != self.now:
                     continue
@@ -97,6 +102,8 @@
                         self._deliver(
                             index, int(action.peer[3:]), "ask", action.message
                         )
+            elif kind == "failed":
+                node.exchange_failed(self.vms[peer].name, self.now)
             else:
                 message = pb.ExchangeMessage.FromString(data)
                 exchange = message_from(message).exchange
@@ -125,6 +132,10 @@
         self.messages += 1
         self.bytes += len(data)
         self.largest = max(self.largest, len(data))
+        if receiver in self.dead or self.side[sender] != self.side[receiver]:
+            if kind == "ask":
+                self._push(self.now + 2.0, sender, "failed", None, receiver)
+            return
         is_near = sender % DOMAINS % REGIONS == receiver % DOMAINS % REGIONS
         at = self.now + (0.005 if is_near else 0.040)
         self._push(at, receiver, kind, data, sender)
@@ -188,6 +199,67 @@
     print(f"{size:5} entries wrongly not live: {wrong}", flush=True)
 
 
+def count_states(fleet: Fleet, state: PeerState, subject: str | None = None) -> int:
+    """Return how many entries of running nodes have a state."""
+    return sum(
+        peer.state is state and subject in (None, peer.name)
+        for index, node in enumerate(fleet.nodes)
+        if index not in fleet.dead
+        for peer in node.peers
+    )
+
+
+def measure_faults(size: int, settings: MembershipSettings, seed: int) -> None:
+    """Print what a crash and a partition of an eighth of the fleet lead to."""
+    fleet = Fleet(size, settings, seed)
+    fleet.run(30.0)
+    fleet.dead.add(3)
+    name, start, first = fleet.vms[3].name, fleet.now, None
+    while count_states(fleet, PeerState.GONE, name) < size - 1:
+        fleet.run(fleet.now + 0.5)
+        suspects = count_states(fleet, PeerState.SUSPECT, name)
+        first = first or (fleet.now - start if suspects else None)
+        if fleet.now > start + 200.0:
+            break
+    print(
+        f"{size:5} crash: first suspicion {first} s, gone on all "
+        f"{fleet.now - start:.1f} s, others wrongly not live: "
+        f"{count_states(fleet, PeerState.SUSPECT)} suspect",
+        flush=True,
+    )
+    for index in range(size):
+        fleet.side[index] = int(index % DOMAINS == 0)
+    fleet.bytes, start = 0, fleet.now
+    fleet.run(start + 120.0)
+    sent = fleet.bytes / size / 120.0
+    kept = sum(
+        peer.state is not PeerState.LIVE
+        for index, node in enumerate(fleet.nodes)
+        if index not in fleet.dead
+        for peer in node.peers
+        if fleet.side[int(peer.name[3:])] == fleet.side[index] and peer.name != name
+    )
+    gone = count_states(fleet, PeerState.GONE)
+    print(
+        f"{size:5} partition of 120 s: protobuf sent {sent:.0f} B/s, entries of the "
+        f"own side wrongly not live {kept}, gone entries {gone}",
+        flush=True,
+    )
+    fleet.side = [0] * size
+    start, fleet.bytes = fleet.now, 0
+    while fleet.now < start + 300.0:
+        fleet.run(fleet.now + 1.0)
+        away = count_states(fleet, PeerState.GONE) - (size - 1)
+        if away + count_states(fleet, PeerState.SUSPECT) <= 0:
+            break
+    span = fleet.now - start
+    print(
+        f"{size:5} healed: all live again after {span:.0f} s, entries left {away}, "
+        f"protobuf sent {fleet.bytes / size / span:.0f} B/s",
+        flush=True,
+    )
+
+
 def measure_table(size: int, settings: MembershipSettings) -> None:
     """Print memory and tick time of one node that knows the whole fleet."""
     vms = tuple(
@@ -214,8 +286,13 @@
     parser.add_argument("--overhead", type=int, default=150)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--fanout", type=int, default=MembershipSettings().fanout)
+    parser.add_argument("--faults", action="store_true")
     options = parser.parse_args()
     settings = msgspec.structs.replace(MembershipSettings(), fanout=options.fanout)
+    if options.faults:
+        for size in options.sizes:
+            measure_faults(size, settings, options.seed)
+        return
     for size in options.sizes:
         measure_table(size, settings)
         measure(size, options.seconds, options.overhead, settings, options.seed)
