--- a/packages/dandelionpond/src/dandelionpond/tests/test_hashing.py
+++ b/packages/dandelionpond/src/dandelionpond/tests/test_hashing.py
@@ -1,14 +1,15 @@
-"""Test rendezvous hashing."""
+"""Test the ranking of names for a key."""
 
 from dandelionpond import hashing
 
 
-class TestRendezvous:
-    def test_top_is_stable_when_an_unrelated_name_leaves(self):
-        """Guard against a hash call that fails or moves keys between names left."""
-        names = [f"node-{index}" for index in range(20)]
-        best = hashing.top("key", names, 3)
-        assert hashing.owner("key", names) == best[0]
-        rest = [name for name in names if name in best or name == "node-7"]
-        assert hashing.top("key", rest, 3)[0] == best[0]
+class TestRanking:
+    def test_owner_is_first_of_top_and_only_its_keys_move(self):
+        """Guard against a hash function that refuses text, and against churn."""
+        names = [f"n{index}" for index in range(20)]
+        for key in map(str, range(200)):
+            best, second = hashing.top(key, names, 2)
+            assert hashing.owner(key, names) == best
+            fewer = [name for name in names if name != best]
+            assert hashing.owner(key, fewer) == second
         assert hashing.owner("key", []) is None
