--- a/packages/dandelionpond/src/dandelionpond/runtime/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/prompts.py
@@ -174,7 +174,7 @@
             pieces = 0
             for action in attempts.handle(event, now):
                 match action:
-                    case Deliver(offset, text):
+                    case Deliver(_, text):
                         pieces += 1
                         yield self._deliver(attempts, text, now)
                     case Complete(tokens):
--- a/packages/standins/src/dandelionpond_standins/launcher.py
+++ b/packages/standins/src/dandelionpond_standins/launcher.py
@@ -333,7 +333,7 @@
             "failure_domain": domain,
             "state": state,
         }
-        await self.control(self.platform, "vms", vm)
+        await self.control(self.platform, "vms", [vm])
 
     def _local_settings(self, name: str, domain: str) -> None:
         assert self.platform is not None
