--- a/packages/dandelionpond/src/dandelionpond/requests/settings.py
+++ b/packages/dandelionpond/src/dandelionpond/requests/settings.py
@@ -17,6 +17,7 @@
     connect_timeout_s: float = 2.0
     silence_factor: float = 20.0
     silence_min_s: float = 1.0
+    first_token_factor: float = 3.0
     reorder_pieces: int = 64
     ticket_ttl_s: float = 600.0
     max_tickets: int = 100_000
