--- a/packages/dandelionpond/src/dandelionpond/requests/tests/test_attempts.py
+++ b/packages/dandelionpond/src/dandelionpond/requests/tests/test_attempts.py
@@ -11,28 +11,9 @@
 
 from dandelionpond.clock import ManualClock
 from dandelionpond.errors import ErrorKind, Execution
+from dandelionpond.requests import messages as msg
 from dandelionpond.requests.attempts import Attempts
 from dandelionpond.requests.budget import RetryBudget
-from dandelionpond.requests.messages import (
-    CallerGone,
-    Cancel,
-    Complete,
-    ConnectFailed,
-    Deliver,
-    Fail,
-    Finished,
-    PauseReading,
-    Piece,
-    Refused,
-    Reset,
-    Resume,
-    ResumeReading,
-    Send,
-    Silent,
-    Started,
-    Taken,
-    Tick,
-)
 from dandelionpond.requests.settings import RequestsSettings
 
 ENGINES = ("e1", "e2", "e3")
@@ -52,18 +33,18 @@
         return self.attempts.handle(event, self.clock.monotonic())
 
     def start(self):
-        [send] = self.handle(Started())
+        [send] = self.handle(msg.Started())
         self.attempts.may_send(1, 0.0)
         return send
 
     def piece(self, attempt, offset, text, after=0.1):
-        piece = Piece(attempt, f"r-{attempt}", offset, len(text), text)
+        piece = msg.Piece(attempt, f"r-{attempt}", offset, len(text), text)
         return self.handle(piece, after)
 
     def tick(self):
         """Advance to the next due time, a little past it, and tick."""
         self.clock.advance(self.attempts.next_tick() + 0.01 - self.clock.monotonic())
-        return self.handle(Tick())
+        return self.handle(msg.Tick())
 
 
 class TestAttempts:
@@ -72,14 +53,14 @@
         run = Run()
         run.start()
         run.piece(1, 0, "ab")
-        assert run.tick() == [Resume(2, "e1", "r-2", 2)]
+        assert run.tick() == [msg.Resume(2, "e1", "r-2", 2)]
         run.attempts.may_send(2, run.clock.monotonic())
         assert run.piece(1, 2, "c") == [
-            Deliver(2, "c"),
-            Cancel(2, "e1", "r-2", True),
+            msg.Deliver(2, "c"),
+            msg.Cancel(2, "e1", "r-2", True),
         ]
         assert run.piece(2, 2, "cd") == [] and run.attempts.next_offset == 3
-        assert run.handle(Finished(1, "r-1", 3)) == [Complete(3)]
+        assert run.handle(msg.Finished(1, "r-1", 3)) == [msg.Complete(3)]
 
     def test_new_connection_wins(self):
         """Guard against a path that lost the connection and holds up the answer."""
@@ -87,7 +68,10 @@
         run.start()
         run.piece(1, 0, "ab")
         run.tick()
-        assert run.piece(2, 2, "c") == [Deliver(2, "c"), Cancel(1, "e1", "r-1", True)]
+        assert run.piece(2, 2, "c") == [
+            msg.Deliver(2, "c"),
+            msg.Cancel(1, "e1", "r-1", True),
+        ]
         assert run.piece(1, 2, "cd") == []
 
     def test_second_silence_moves_to_another_engine(self):
@@ -114,9 +98,9 @@
         run = Run()
         run.start()
         run.piece(1, 0, "ab")
-        assert run.handle(Tick(), after=300.0) == []
-        assert run.handle(Tick(), after=0.1) == []
-        assert run.piece(1, 2, "c") == [Deliver(2, "c")]
+        assert run.handle(msg.Tick(), after=300.0) == []
+        assert run.handle(msg.Tick(), after=0.1) == []
+        assert run.piece(1, 2, "c") == [msg.Deliver(2, "c")]
 
     def test_lost_piece_and_early_end_resume(self):
         """Guard against an answer with a hole or a missing end."""
@@ -124,35 +108,35 @@
         run.start()
         run.piece(1, 0, "ab")
         run.piece(1, 3, "d")
-        cancel, resume = run.handle(Finished(1, "r-1", 4))
-        assert cancel.attempt == 1 and resume == Resume(2, "e2", "r-2", 2)
-        assert run.piece(2, 2, "cd") == [Deliver(2, "cd")]
+        cancel, resume = run.handle(msg.Finished(1, "r-1", 4))
+        assert cancel.attempt == 1 and resume == msg.Resume(2, "e2", "r-2", 2)
+        assert run.piece(2, 2, "cd") == [msg.Deliver(2, "cd")]
 
     def test_reset_without_budget_is_incomplete(self):
         """Guard against a truncated answer that looks whole."""
         run = Run(retry_burst=0)
         run.start()
         run.piece(1, 0, "ab")
-        _, end = run.handle(Reset(1))
+        _, end = run.handle(msg.Reset(1))
         assert end.failure.kind is ErrorKind.ANSWER_INCOMPLETE
 
     def test_doubt_outlives_a_refusal(self):
         """Guard against `not_run` after an earlier attempt sent its prompt."""
         run = Run(max_attempts=2)
         run.start()
-        run.handle(Reset(1))
-        _, end = run.handle(Refused(2))
+        run.handle(msg.Reset(1))
+        _, end = run.handle(msg.Refused(2))
         assert end.failure.execution is Execution.MAY_HAVE_RUN
         fresh = Run(max_attempts=1)
-        fresh.handle(Started())
-        _, end = fresh.handle(ConnectFailed(1))
+        fresh.handle(msg.Started())
+        _, end = fresh.handle(msg.ConnectFailed(1))
         assert end.failure.kind is ErrorKind.UPSTREAM_UNREACHABLE
 
     def test_hedge_only_before_the_first_token_and_within_budget(self):
         """Guard against hedges that double the load."""
         run = Run(hedge_after_s=0.5)
         run.start()
-        assert run.tick() == [Send(2, "e2", "r-2", True)]
+        assert run.tick() == [msg.Send(2, "e2", "r-2", True)]
         assert run.piece(2, 0, "a")[1].attempt == 1
         poor = Run(hedge_after_s=0.5, retry_burst=0)
         poor.start()
@@ -167,12 +151,12 @@
         run = Run(undelivered_pieces=2)
         run.start()
         run.piece(1, 0, "a")
-        assert run.piece(1, 1, "b") == [Deliver(1, "b"), PauseReading()]
+        assert run.piece(1, 1, "b") == [msg.Deliver(1, "b"), msg.PauseReading()]
         assert run.attempts.next_tick() == 1_000.0
         for offset in range(2, 6):
             run.piece(1, offset, "c")
         assert run.attempts.dropped_full == 2
-        assert run.handle(Taken(3), after=50.0) == [ResumeReading()]
+        assert run.handle(msg.Taken(3), after=50.0) == [msg.ResumeReading()]
         assert run.attempts.next_tick() > run.clock.monotonic()
 
     def test_attempt_that_starts_while_paused_is_not_silent(self):
@@ -180,18 +164,18 @@
         run = Run(undelivered_pieces=1)
         run.start()
         run.piece(1, 0, "a")
-        run.handle(Reset(1))
-        assert run.handle(Tick(), after=0.1) == []
-        assert run.handle(Tick(), after=300.0) == []
-        run.handle(Taken(1))
-        assert isinstance(run.tick()[0], Resume)
+        run.handle(msg.Reset(1))
+        assert run.handle(msg.Tick(), after=0.1) == []
+        assert run.handle(msg.Tick(), after=300.0) == []
+        run.handle(msg.Taken(1))
+        assert isinstance(run.tick()[0], msg.Resume)
 
     def test_caller_gone_and_deadline_cancel_every_attempt(self):
         """Guard against engine memory that no one releases."""
-        for event, after in ((CallerGone(), 0.0), (Tick(), 2_000.0)):
+        for event, after in ((msg.CallerGone(), 0.0), (msg.Tick(), 2_000.0)):
             run = Run()
             run.start()
-            run.handle(Silent(1))
+            run.handle(msg.Silent(1))
             run.attempts.may_send(2, run.clock.monotonic())
             *cancels, _ = run.handle(event, after)
             assert [(c.attempt, c.may_hold) for c in cancels] == [(1, True), (2, True)]
@@ -220,7 +204,7 @@
     @initialize(hedge=st.sampled_from([None, 0.5]))
     def start(self, hedge):
         self.run.attempts._hedge_after_s = hedge
-        self.take(Started())
+        self.take(msg.Started())
 
     def take(self, event, after=0.0):
         actions = self.run.handle(event, after)
@@ -229,22 +213,22 @@
         for action in actions:
             assert self.ended is None
             match action:
-                case Send() | Resume():
+                case msg.Send() | msg.Resume():
                     self.engines[action.attempt] = getattr(action, "offset", 0)
                     now = self.run.clock.monotonic()
                     if self.run.attempts.may_send(action.attempt, now):
                         self.holding.add(action.attempt)
-                case Cancel():
+                case msg.Cancel():
                     assert action.may_hold or action.attempt not in self.holding
                     self.holding.discard(action.attempt)
-                case Deliver():
+                case msg.Deliver():
                     assert action.offset == len(self.text)
                     self.text += action.text
                     self.waiting += 1
-                case Complete():
+                case msg.Complete():
                     assert self.text == TRUTH
                     self.ended = action
-                case Fail():
+                case msg.Fail():
                     self.ended = action
                     assert action.failure.execution is Execution.MAY_HAVE_RUN
 
@@ -259,7 +243,7 @@
             text = TRUTH[offset : offset + size]
             if text:
                 name = f"r-{attempt}"
-                self.wire.append(Piece(attempt, name, offset, len(text), text))
+                self.wire.append(msg.Piece(attempt, name, offset, len(text), text))
                 self.engines[attempt] += len(text)
 
     @rule(number=st.integers(0, 9))
@@ -267,7 +251,7 @@
         attempt = self.pick(number)
         if self.engines[attempt] == len(TRUTH):
             self.holding.discard(attempt)
-            self.wire.append(Finished(attempt, f"r-{attempt}", len(TRUTH)))
+            self.wire.append(msg.Finished(attempt, f"r-{attempt}", len(TRUTH)))
 
     @precondition(lambda self: self.wire)
     @rule(index=st.integers(0, 99), keep=st.sampled_from([False, False, False, True]))
@@ -288,10 +272,10 @@
         """Send a piece that claims a wrong attempt or request identifier."""
         if attempt != request:
             offset = len(self.text)
-            self.take(Piece(attempt, f"r-{request}", offset, 1, "wrong"))
-            self.take(Finished(attempt, f"r-{request}", offset))
+            self.take(msg.Piece(attempt, f"r-{request}", offset, 1, "wrong"))
+            self.take(msg.Finished(attempt, f"r-{request}", offset))
 
-    @rule(number=st.integers(0, 9), event=st.sampled_from([Reset, Silent]))
+    @rule(number=st.integers(0, 9), event=st.sampled_from([msg.Reset, msg.Silent]))
     def fault(self, number, event):
         self.take(event(self.pick(number)))
 
@@ -299,17 +283,17 @@
     def tick(self):
         if self.ended is None:
             due = self.run.attempts.next_tick() - self.run.clock.monotonic()
-            self.take(Tick(), after=max(0.0, due) + 0.01 if due < 100 else 0.01)
+            self.take(msg.Tick(), after=max(0.0, due) + 0.01 if due < 100 else 0.01)
 
     @rule()
     def pause_node(self):
-        self.take(Tick(), after=20.0)
+        self.take(msg.Tick(), after=20.0)
 
     @rule(pieces=st.integers(1, 8))
     def caller_takes(self, pieces):
         pieces = min(pieces, self.waiting)
         self.waiting -= pieces
-        self.take(Taken(pieces))
+        self.take(msg.Taken(pieces))
 
     @invariant()
     def text_is_a_prefix_and_work_is_bounded(self):
@@ -321,7 +305,7 @@
 
     def teardown(self):
         if self.ended is None:
-            self.take(Tick(), after=2_000.0)
+            self.take(msg.Tick(), after=2_000.0)
         assert self.ended is not None
         assert not self.holding
 
--- a/packages/dandelionpond/src/dandelionpond/requests/tests/test_ticket_book.py
+++ b/packages/dandelionpond/src/dandelionpond/requests/tests/test_ticket_book.py
@@ -15,14 +15,7 @@
 from dandelionpond.config.schema import Service
 from dandelionpond.errors import ErrorKind, Execution, Failure
 from dandelionpond.identity import Identity
-from dandelionpond.requests.messages import (
-    Forward,
-    Outcome,
-    Recorded,
-    Refuse,
-    RunPlain,
-    RunTicket,
-)
+from dandelionpond.requests import messages as msg
 from dandelionpond.requests.settings import RequestsSettings
 from dandelionpond.requests.ticket_book import TicketBook, while_key_unknown
 
@@ -46,13 +39,13 @@
 
 def begin(owner, key, now=0.0, body=b"h"):
     found = owner.classify(key, "acme", "pay", PAY, body, now)
-    assert isinstance(found, RunTicket)
+    assert isinstance(found, msg.RunTicket)
     return found.ticket, owner.begin(found.ticket, body, now).ok
 
 
 def kind(owner, key, account="acme", service="pay", rule=PAY, body=b"h", now=0.0):
     found = owner.classify(key, account, service, rule, body, now)
-    assert isinstance(found, Refuse), found
+    assert isinstance(found, msg.Refuse), found
     return found.failure.kind
 
 
@@ -65,8 +58,8 @@
         assert kind(owner, "k") is ErrorKind.KEY_NOT_TICKET
         call = ("acme", "pay")
         for key in (None, "k"):
-            assert owner.classify(key, *call, STOCK, b"h", 0.0) == RunPlain(None)
-        assert owner.classify("k", *call, ORDERS, b"h", 0.0) == RunPlain("k")
+            assert owner.classify(key, *call, STOCK, b"h", 0.0) == msg.RunPlain(None)
+        assert owner.classify("k", *call, ORDERS, b"h", 0.0) == msg.RunPlain("k")
 
     @pytest.mark.parametrize("rule", RULES)
     def test_ticket_binds_under_every_rule(self, rule):
@@ -74,7 +67,7 @@
         owner = book()
         key = owner.issue("acme", "pay", 0.0)
         found = owner.classify(key, "acme", "pay", rule, b"h", 0.0)
-        assert isinstance(found, RunTicket)
+        assert isinstance(found, msg.RunTicket)
         assert found.pass_key == (key if rule.deduplicates else None)
         begin(owner, key)
         assert kind(owner, key, rule=rule) is ErrorKind.CALL_IN_PROGRESS
@@ -85,7 +78,7 @@
         """Guard against a run on a node that has no memory of the ticket."""
         key = book().issue("acme", "pay", 0.0)
         found = book("n2").classify(key, "acme", "pay", PAY, b"h", 0.0)
-        assert found == Forward("n1", Identity("n1", 1, 1).incarnation, "n1:1")
+        assert found == msg.Forward("n1", Identity("n1", 1, 1).incarnation, "n1:1")
         assert kind(book("n1", 2), key) is ErrorKind.ISSUER_UNREACHABLE
         assert kind(book("n2"), key, account="x") is ErrorKind.TICKET_MISMATCH
 
@@ -106,9 +99,9 @@
         owner = book()
         key = owner.issue("acme", "pay", 0.0)
         ticket, run = begin(owner, key)
-        assert owner.finish(ticket, run, Outcome(200, b"paid"), 1.0)
+        assert owner.finish(ticket, run, msg.Outcome(200, b"paid"), 1.0)
         found = owner.classify(key, "acme", "pay", PAY, b"h", 2.0)
-        assert found == Recorded(Outcome(200, b"paid"))
+        assert found == msg.Recorded(msg.Outcome(200, b"paid"))
         assert owner.begin(ticket, b"h", 2.0).error == found
 
     def test_not_run_may_run_again_and_late_end_is_ignored(self):
@@ -129,7 +122,7 @@
         keys = [owner.issue("acme", "pay", 0.0) for _ in range(3)]
         for key, body in zip(keys, (b"123456789", b"12345678", b"12345"), strict=True):
             ticket, run = begin(owner, key)
-            owner.finish(ticket, run, Outcome(200, body), 1.0)
+            owner.finish(ticket, run, msg.Outcome(200, body), 1.0)
         assert kind(owner, keys[0]) is ErrorKind.ANSWER_TOO_LARGE
         assert kind(owner, keys[2]) is ErrorKind.ANSWER_TOO_LARGE
         assert owner.outcome_bytes == 8 and owner.counters.outcomes_too_large == 2
@@ -151,7 +144,9 @@
         owner = book()
         ticket, run = begin(owner, owner.issue("acme", "pay", 0.0))
         assert owner.expire(11.0) == 0 and owner.size == 1
-        assert owner.finish(ticket, run, Outcome(200, b"x"), 12.0) and owner.size == 0
+        assert (
+            owner.finish(ticket, run, msg.Outcome(200, b"x"), 12.0) and owner.size == 0
+        )
 
     def test_pause_between_classify_and_begin(self):
         """Guard against a run after a pause that outlived the ticket."""
@@ -218,32 +213,32 @@
         found = self.books[name].classify(
             key[:-end], "acme", "pay", self.rules[name], b"a", self.now
         )
-        assert not isinstance(found, RunPlain | RunTicket | Recorded)
+        assert not isinstance(found, msg.RunPlain | msg.RunTicket | msg.Recorded)
 
     @rule(key=tickets, name=names)
     def send_as_other_account(self, key, name):
         found = self.books[name].classify(
             key, "other", "pay", self.rules[name], b"a", self.now
         )
-        assert isinstance(found, Refuse)
+        assert isinstance(found, msg.Refuse)
         self.answer(key, found.failure)
 
     def arrive(self, key, name, body, fate, pause, forwarded):
         owner = self.books[name]
         found = owner.classify(key, "acme", "pay", self.rules[name], body, self.now)
         match found:
-            case Refuse():
+            case msg.Refuse():
                 self.answer(key, found.failure)
-            case Recorded():
+            case msg.Recorded():
                 assert self.runs[key] == 1 and found.outcome.body == body
-            case Forward():
+            case msg.Forward():
                 assert not forwarded
                 if self.cut in (name, found.issuer):
                     lost = Failure(ErrorKind.OVERLOADED, "full")
                     self.answer(key, while_key_unknown(lost))
                 else:
                     self.arrive(key, found.issuer, body, fate, pause, forwarded=True)
-            case RunTicket():
+            case msg.RunTicket():
                 self.waiting.append((owner, found.ticket, key, body, fate))
                 if not pause:
                     self.wake(len(self.waiting) - 1)
@@ -259,7 +254,7 @@
                 self.execute(-1)
             if fate != "open":
                 self.end(-1, fate == "lost")
-        elif isinstance(begun.error, Refuse):
+        elif isinstance(begun.error, msg.Refuse):
             self.answer(key, begun.error.failure)
         else:
             assert self.runs[key] == 1
@@ -295,7 +290,7 @@
         owner, ticket, run, key, executed, body = self.open.pop(index)
         if owner not in self.books.values():
             return
-        result = (IN_DOUBT if lose else Outcome(200, body)) if executed else NOT_RUN
+        result = (IN_DOUBT if lose else msg.Outcome(200, body)) if executed else NOT_RUN
         assert owner.finish(ticket, run, result, self.now)
         self.late.append((owner, ticket, run))
         if not executed:
