--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/memory/adoption.py
@@ -0,0 +1,103 @@
+"""Release what dead owners left behind on engines."""
+
+from collections.abc import Collection, Iterable, Mapping
+
+import msgspec
+
+from dandelionpond import hashing
+from dandelionpond.memory.messages import Holding, Release, Scan
+from dandelionpond.memory.settings import MemorySettings
+
+
+class AdoptionCounters(msgspec.Struct):
+    """Count scans and their results since the start."""
+
+    scans: int = 0
+    discarded: int = 0
+    adopted: int = 0
+    held_by_live: int = 0
+
+
+class Adoption:
+    """Decide which engines this node scans and which of their holdings it releases.
+
+    The adopter of an engine is the first by rendezvous hashing among the live nodes of
+    the engine's failure domain. Two adopters at once, as with differing membership
+    views, do no harm, because a release names the holding and its owner and can be
+    repeated. An unconfirmed release is found again by the next scan.
+    """
+
+    __slots__ = ("_due", "_last_tick", "_name", "_settings", "_valid_from", "counters")
+
+    def __init__(self, name: str, settings: MemorySettings) -> None:
+        self._name = name
+        self._settings = settings
+        self._due: dict[str, float] = {}
+        self._last_tick: float | None = None
+        self._valid_from = 0.0
+        self.counters = AdoptionCounters()
+
+    def tick(
+        self,
+        engines: Iterable[str],
+        live_nodes: Collection[str],
+        membership_at: float,
+        now: float,
+    ) -> list[Scan]:
+        """Return the engines to list now.
+
+        `engines` and `live_nodes` are those of this node's failure domain, and
+        `membership_at` is when a peer was last heard, in monotonic seconds. After a
+        pause nothing is scanned before membership is newer than the pause.
+        """
+        last = self._last_tick
+        # Before the first scan a node has to learn which owners live.
+        if last is None or now - last > self._settings.clock_margin_s:
+            self._valid_from = now
+            self._due.clear()
+        self._last_tick = now
+        if membership_at <= self._valid_from:
+            return []
+        mine = [
+            engine
+            for engine in engines
+            if hashing.owner(f"adopt/{engine}", live_nodes) == self._name
+        ]
+        self._due = {engine: self._due.get(engine, now) for engine in mine}
+        scans = [Scan(engine) for engine, due in self._due.items() if due <= now]
+        for scan in scans:
+            self._due[scan.engine] = now + self._settings.scan_interval_s
+        return scans
+
+    def scanned(
+        self,
+        scan: Scan,
+        holdings: list[Holding],
+        live_owners: Mapping[str, str],
+        asked_at: float,
+        now: float,
+    ) -> list[Release]:
+        """Return releases for the complete list of an engine that was asked for.
+
+        `live_owners` maps each node that membership does not count as gone to its
+        owner text. A list that was asked for before the last pause, or that took longer
+        than `clock_margin_s`, is discarded: an owner may have renewed since. An expired
+        holding is adopted only if its owner is not among the live ones; a living owner
+        behind a partition keeps what it renews.
+        """
+        self.counters.scans += 1
+        late = now - asked_at > self._settings.clock_margin_s
+        if late or asked_at < self._valid_from or scan.engine not in self._due:
+            self.counters.discarded += 1
+            return []
+        owners = set(live_owners.values())
+        releases = []
+        for holding in holdings:
+            if holding.expires_in_s > -self._settings.clock_margin_s:
+                continue
+            if holding.owner in owners:
+                self.counters.held_by_live += 1
+                continue
+            releases.append(Release(scan.engine, holding.holding_id, holding.owner))
+        self.counters.adopted += len(releases)
+        return releases
