--- a/packages/dandelionpond/src/dandelionpond/config/keeper.py
+++ b/packages/dandelionpond/src/dandelionpond/config/keeper.py
@@ -150,6 +150,11 @@
         """Return when the revision in force was accepted, in monotonic seconds."""
         return self._accepted_at
 
+    @property
+    def total_bytes(self) -> int:
+        """Return the size of all files in force, in bytes."""
+        return sum(map(len, self._files.values()))
+
     @property
     def refusal(self) -> Refusal | None:
         """Return the last refused revision, or None."""
--- a/packages/dandelionpond/src/dandelionpond/memory/adoption.py
+++ b/packages/dandelionpond/src/dandelionpond/memory/adoption.py
@@ -37,6 +37,10 @@
         self._valid_from = 0.0
         self.counters = AdoptionCounters()
 
+    def configure(self, settings: MemorySettings) -> None:
+        """Take new settings from the next event on."""
+        self._settings = settings
+
     def tick(
         self,
         engines: Iterable[str],
--- a/packages/dandelionpond/src/dandelionpond/memory/groups.py
+++ b/packages/dandelionpond/src/dandelionpond/memory/groups.py
@@ -73,6 +73,10 @@
     def __len__(self) -> int:
         return len(self._groups)
 
+    def configure(self, settings: MemorySettings) -> None:
+        """Take new settings from the next event on."""
+        self._settings = settings
+
     def holding_id(self, group: str, engine: str) -> str:
         """Return the identifier of a part's reservation."""
         return f"{group}/{engine}"
--- a/packages/dandelionpond/src/dandelionpond/memory/leases.py
+++ b/packages/dandelionpond/src/dandelionpond/memory/leases.py
@@ -76,6 +76,10 @@
         """Return the number of releases that are not confirmed."""
         return sum(len(each.releases) for each in self._engines.values())
 
+    def configure(self, settings: MemorySettings) -> None:
+        """Take new settings from the next event on."""
+        self._settings = settings
+
     def acquire(
         self, engine: str, holding_id: str, now: float
     ) -> Result[None, Failure]:
--- a/packages/dandelionpond/src/dandelionpond/shutdown/drain.py
+++ b/packages/dandelionpond/src/dandelionpond/shutdown/drain.py
@@ -66,6 +66,10 @@
         """Return 0 if no request was interrupted so far, and 3 otherwise."""
         return 3 if self._interrupted else 0
 
+    def configure(self, settings: ShutdownSettings) -> None:
+        """Take new settings from the next event on."""
+        self._settings = settings
+
     def decide(self, event: Event, now: float) -> list[Action]:
         """Take in an event and return what is to be done, in order."""
         match event:
