Run prompts and payments end to end as separate processes

Cause: the whole path comes first. The first run failed in two places: the demonstration used an account without the payment service, and three prompts of a million tokens from one account exceeded its burst and got 429 with Retry-After.

Ruled out: higher limits for the demonstration; callers are expected to follow Retry-After, so the demonstration does as well.

--- a/packages/standins/src/dandelionpond_standins/client.py
+++ b/packages/standins/src/dandelionpond_standins/client.py
@@ -1,5 +1,6 @@
 """Send requests as a caller does and check each answer."""
 
+import asyncio
 import time
 from enum import StrEnum
 
@@ -34,6 +35,7 @@
     longest_gap_s: float = 0.0
     text: str = ""
     request_id: str = ""
+    retry_after_s: float = 0.0
 
 
 class CallResult(msgspec.Struct):
@@ -111,6 +113,7 @@
             result.request_id = response.headers.get("X-Request-Id", "")
             if response.status != 200:
                 failure = msgspec.json.decode(await response.read(), type=_ErrorBody)
+                result.retry_after_s = float(response.headers.get("Retry-After", "0"))
                 result.error = failure.error.code
                 result.execution = failure.error.execution
                 result.verdict = (
@@ -125,6 +128,18 @@
     return result
 
 
+async def send_prompt_until_done(
+    session: aiohttp.ClientSession, url: str, key: str, prompt: Prompt
+) -> PromptResult:
+    """Send a prompt and repeat it as long as `Retry-After` invites to."""
+    end = time.monotonic() + prompt.timeout_s
+    while True:
+        result = await send_prompt(session, url, key, prompt)
+        if not result.retry_after_s or time.monotonic() > end:
+            return result
+        await asyncio.sleep(result.retry_after_s)
+
+
 async def _read_stream(
     response: aiohttp.ClientResponse,
     prompt: Prompt,
--- a/packages/standins/src/dandelionpond_standins/demo.py
+++ b/packages/standins/src/dandelionpond_standins/demo.py
@@ -21,7 +21,7 @@
     get_ticket,
     make_text,
     send_call,
-    send_prompt,
+    send_prompt_until_done,
 )
 from dandelionpond_standins.launcher import Stack, StackError, StackOptions
 
@@ -61,12 +61,6 @@
             f"http://{child.line['caller_address']}" for child in stack.nodes.values()
         ]
         settings = stack.settings
-        self._account = next(
-            name
-            for name, account in settings.client_accounts.items()
-            if account.services
-        )
-        self._key = f"demo-{self._account}"
         self._model = max(
             settings.models, key=lambda name: settings.models[name].max_prompt_tokens
         )
@@ -75,6 +69,18 @@
             for name, service in settings.services.items()
             if not service.idempotent and not service.deduplicates
         )
+        accounts = sorted(
+            settings.client_accounts.items(),
+            key=lambda item: (-item[1].limits.tokens_per_s, item[0]),
+        )
+        self._readers = [
+            name for name, account in accounts if _may_use(account.models, self._model)
+        ]
+        self._payer = next(
+            name
+            for name, account in accounts
+            if _may_use(account.services, self._service)
+        )
 
     async def prompts(self) -> list[PromptResult]:
         """Send prompts of all lengths at once, alternating between the nodes."""
@@ -90,7 +96,10 @@
                     max_tokens=24,
                     timeout_s=240,
                 )
-                jobs.append(send_prompt(self._stack.session, url, self._key, prompt))
+                key = f"demo-{self._readers[number % len(self._readers)]}"
+                jobs.append(
+                    send_prompt_until_done(self._stack.session, url, key, prompt)
+                )
         return await asyncio.gather(*jobs)
 
     async def payments(self) -> list[Payment]:
@@ -110,17 +119,22 @@
 
     async def _payment(self, number: int) -> Payment:
         session, service = self._stack.session, self._service
+        key = f"demo-{self._payer}"
         first_url = self._urls[number % len(self._urls)]
         second_url = self._urls[(number + 1) % len(self._urls)]
         body = f'{{"payment":{number}}}'
-        ticket = await get_ticket(session, first_url, self._key, service)
+        ticket = await get_ticket(session, first_url, key, service)
         results = [
-            await send_call(session, url, self._key, service, body.encode(), ticket)
+            await send_call(session, url, key, service, body.encode(), ticket)
             for url in (first_url, second_url)
         ]
         return Payment(body, results[0], results[1])
 
 
+def _may_use(permitted: tuple[str, ...], name: str) -> bool:
+    return "*" in permitted or name in permitted
+
+
 def show_prompts(console: Console, results: list[PromptResult]) -> bool:
     """Print time to first token by prompt length; return whether all are complete."""
     table = Table(title="Time to first token by prompt length")
