--- a/packages/dandelionpond/src/dandelionpond/hashing.py
+++ b/packages/dandelionpond/src/dandelionpond/hashing.py
@@ -22,3 +22,13 @@
 def owner(key: str, names: Iterable[str]) -> str | None:
     """Return the name with the highest weight for a key, or None without names."""
     return max(names, key=lambda name: (score(key, name), name), default=None)
+
+
+def is_owner(key: str, name: str, names: Iterable[str]) -> bool:
+    """Return whether `name`, one of `names`, has the highest weight for a key.
+
+    It stops at the first higher weight, after about ln(n) of n names on average, where
+    `owner` always weighs all of them.
+    """
+    own = (score(key, name), name)
+    return all((score(key, other), other) <= own for other in names)
--- a/packages/dandelionpond/src/dandelionpond/memory/adoption.py
+++ b/packages/dandelionpond/src/dandelionpond/memory/adoption.py
@@ -27,12 +27,23 @@
     repeated. An unconfirmed release is found again by the next scan.
     """
 
-    __slots__ = ("_due", "_last_tick", "_name", "_settings", "_valid_from", "counters")
+    __slots__ = (
+        "_chosen",
+        "_due",
+        "_last_tick",
+        "_mine",
+        "_name",
+        "_settings",
+        "_valid_from",
+        "counters",
+    )
 
     def __init__(self, name: str, settings: MemorySettings) -> None:
         self._name = name
         self._settings = settings
         self._due: dict[str, float] = {}
+        self._chosen: tuple[tuple[str, ...], frozenset[str]] = ((), frozenset())
+        self._mine: list[str] = []
         self._last_tick: float | None = None
         self._valid_from = 0.0
         self.counters = AdoptionCounters()
@@ -58,17 +69,24 @@
         self._last_tick = now
         if membership_at <= self._valid_from:
             return []
-        mine = [
-            engine
-            for engine in engines
-            if hashing.owner(f"adopt/{engine}", live_nodes) == self._name
-        ]
-        self._due = {engine: self._due.get(engine, now) for engine in mine}
+        self._choose(tuple(engines), frozenset(live_nodes))
+        self._due = {engine: self._due.get(engine, now) for engine in self._mine}
         scans = [Scan(engine) for engine, due in self._due.items() if due <= now]
         for scan in scans:
             self._due[scan.engine] = now + self._settings.scan_interval_s
         return scans
 
+    def _choose(self, engines: tuple[str, ...], live: frozenset[str]) -> None:
+        if (engines, live) == self._chosen:
+            return
+        self._chosen = (engines, live)
+        self._mine = [
+            engine
+            for engine in engines
+            if self._name in live
+            and hashing.is_owner(f"adopt/{engine}", self._name, live)
+        ]
+
     def scanned(
         self,
         scan: Scan,
