--- a/packages/standins/src/dandelionpond_standins/engine_model.py
+++ b/packages/standins/src/dandelionpond_standins/engine_model.py
@@ -11,8 +11,8 @@
 import heapq
 import random
 from bisect import insort
-from collections import deque
 
+from dandelionpond_standins.engine_load import LoadHistory
 from dandelionpond_standins.engine_memory import EngineMemory, Held, Run
 from dandelionpond_standins.engine_types import (
     CacheEvent,
@@ -57,11 +57,12 @@
         "_count",
         "_decoding",
         "_ends",
+        "_loads",
         "_memory",
         "_pending",
         "_prefilling",
         "_queued",
-        "_samples",
+        "_ran",
         "_step",
         "_steps",
         "_waiting",
@@ -83,6 +84,7 @@
         self._count = 0
         self._steps = 0
         self._queued = 0
+        self._ran = 0.0
         self._waiting_count = 0
         self._by_id: dict[str, Run] = {}
         self._waiting: list[Run] = []
@@ -91,7 +93,7 @@
         self._ends: list[tuple[int, Run]] = []
         self._step: tuple[float, list[tuple[Run, int]]] | None = None
         self._pending: list[ModelEvent] = []
-        self._samples: deque[LoadReport] = deque(maxlen=64)
+        self._loads = LoadHistory(spec.report_lag_s)
 
     @property
     def kv_tokens_used(self) -> int:
@@ -187,12 +189,7 @@
         self._run(now)
         if self.spec.report_lag_s <= 0:
             return self._sample(now)
-        best = LoadReport(0.0, 0, 0, 0, 0)
-        for sample in self._samples:
-            if sample.at > now - self.spec.report_lag_s:
-                break
-            best = sample
-        return best
+        return self._loads.latest(now)
 
     def cache_events(self, from_seq: int, now: float) -> list[CacheEvent]:
         """Return cache events from a sequence number on, late and with gaps."""
@@ -298,6 +295,8 @@
         return self._ends[0][0] - self._steps if self._ends else 1 << 60
 
     def _run(self, until: float) -> None:
+        # The state that the last call left behind has lasted until now.
+        self._loads.record(self._sample, self._ran, until)
         while True:
             if self._step is not None:
                 if self._step[0] > until:
@@ -311,11 +310,8 @@
             portions, duration = self._plan()
             if self._at + duration > until or not self._skip(portions, duration, until):
                 self._step = (self._at + duration, portions)
-        if self.spec.report_lag_s > 0 and (
-            not self._samples
-            or until >= self._samples[-1].at + self.spec.report_lag_s / 8
-        ):
-            self._samples.append(self._sample(until))
+        self._loads.record(self._sample, until, until)
+        self._ran = until
         if self.spec.self_expire:
             self._expire(until)
 
--- a/packages/standins/tests/test_engine_model.py
+++ b/packages/standins/tests/test_engine_model.py
@@ -169,6 +169,12 @@
         assert engine.load(2.5).running_requests == 0
         assert engine.load(3.6).running_requests == 1
 
+    def test_change_on_an_idle_engine_is_reported(self):
+        """Guard against a report that stays old because nothing runs."""
+        engine = EngineModel(EngineSpec(report_lag_s=1.0), 1)
+        engine.reserve("r", "n/1", 100, 30.0, 10.0)
+        assert engine.load(20.0).kv_tokens_used == 100
+
     def test_events_are_late_and_have_gaps(self):
         """Guard against a reader that is never tested with a missing event."""
         engine = EngineModel(EngineSpec(event_lag_s=2.0, event_gap_ratio=0.3), 1)
