--- a/packages/dandelionpond/src/dandelionpond/membership/peers.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/peers.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from dandelionpond.identity import Identity
+from dandelionpond.membership.compose import rumors_for
 from dandelionpond.membership.messages import (
     Action,
     Exchange,
@@ -206,19 +207,8 @@
         return actions
 
     def reply_to(self, exchange: Exchange) -> Exchange:
-        """Return the reply to a request that `received` has taken in.
-
-        A sender in its first intervals gets a full message, so that it learns of peers
-        quickly while the platform is down.
-        """
-        sender = exchange.sender
-        known = self._table.get(sender.name)
-        incarnation = (sender.started_ms, sender.nonce)
-        is_old = known is not None and known.incarnation != incarnation
-        is_new = exchange.heartbeat % EPOCH <= 5
-        return self._message(
-            sender.name, is_full=is_new, is_old=is_old, exchange=exchange
-        )
+        """Return the reply to a request that `received` has taken in."""
+        return self._message(exchange.sender.name, exchange)
 
     def exchange_failed(self, peer: str, now: float) -> list[Action]:
         """Count a failed exchange; suspect after failures for `suspect_after_s`."""
@@ -340,42 +330,13 @@
     def _send(self, targets: list[Peer], now: float, actions: list[Action]) -> None:
         for peer in targets:
             self._sent_at[peer.name] = now
-            message = self._message(peer.name, is_request=True)
+            message = self._message(peer.name)
             actions.append(SendExchange(peer.name, peer.address, message))
 
-    def _message(
-        self,
-        receiver: str,
-        is_full: bool = False,
-        is_old: bool = False,
-        is_request: bool = False,
-        exchange: Exchange | None = None,
-    ) -> Exchange:
-        limit = self._settings.max_rumors
-        rumors = []
-        known = self._table.get(receiver)
-        if known is not None and (is_old or known.state is not PeerState.LIVE):
-            rumors.append(known.rumor(""))
-        if exchange is not None:
-            # The sender's knowledge that is behind this node's is corrected first.
-            rumors += self._table.corrections(exchange.rumors)[: limit // 2]
-        rumors += self._queue.take(limit - len(rumors))
-        if is_request and self._table.is_split:
-            # A receiver on the other side of a healed partition corrects these.
-            asked = min(limit // 4, limit - len(rumors))
-            gone = self._table.sample_gone(asked, self._random)
-            rumors += [peer.rumor("") for peer in gone]
-        # Random knowledge repairs what the bounded relays missed.
-        spare = limit - len(rumors) if is_full else int(not rumors and is_request)
-        if is_request and spare and self._random.random() < 0.5:
-            gone = self._table.sample_gone(1, self._random)
-            rumors += [peer.rumor("") for peer in gone]
-            spare -= len(gone)
-        for _ in range(spare):
-            is_foreign = self._random.random() < 0.5
-            peer = self._table.pick(self._domain, is_foreign, self._random)
-            if peer is not None and peer.incarnation and peer.name != receiver:
-                rumors.append(peer.rumor(""))
+    def _message(self, receiver: str, request: Exchange | None = None) -> Exchange:
+        rumors = rumors_for(
+            receiver, request, self._table, self._queue, self._settings, self._random
+        )
         return self._own.exchange(self._settings_version, tuple(rumors))
 
     def _announce(self) -> None:
--- a/packages/dandelionpond/src/dandelionpond/membership/table.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/table.py
@@ -169,6 +169,13 @@
             return None
         return self._peers[names[int(random.random() * len(names))]]
 
+    def pick_any(self, random: Random) -> Peer | None:
+        """Return a random peer that is not gone, each failure domain as likely."""
+        domains = list(self._domains)
+        if not domains:
+            return None
+        return self.pick(domains[int(random.random() * len(domains))], False, random)
+
     def refresh_view(
         self, size: int, domain: str, foreign_share: float, rotate: bool, random: Random
     ) -> None:
