--- a/packages/dandelionpond/src/dandelionpond/membership/tests/test_peers.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/tests/test_peers.py
@@ -106,6 +106,22 @@
         assert one.state_of("b") is PeerState.LIVE
         assert two.counts["refuted"] == 1
 
+    def test_reply_corrects_what_is_behind_and_questions_change_nothing(self):
+        """Guard against gone entries of a healed partition that mislead others."""
+        membership = node()
+        membership.received(hello("b", heartbeat=EPOCH + 5), 0.0)
+        membership.received(hello("d", heartbeat=3), 0.0)
+        questions = tuple(
+            msgspec.structs.replace(about(name, "gone"), origin="") for name in "bd"
+        )
+        asked = hello("c", heartbeat=50, rumors=questions)
+        membership.received(asked, 1.0)
+        assert membership.state_of("b") is PeerState.LIVE
+        assert membership.state_of("d") is PeerState.LIVE
+        answers = membership.reply_to(asked).rumors
+        known = [(r.subject, r.state, r.heartbeat) for r in answers if not r.origin]
+        assert ("b", "live", EPOCH + 5) in known
+
     def test_leaving_wins_over_earlier_messages(self):
         """Guard against a late message that hides a planned stop."""
         leaver, other = node("b", ("a",)), node("a", ("b",))
--- a/packages/dandelionpond/src/dandelionpond/membership/upstreams.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/upstreams.py
@@ -61,6 +61,7 @@
         "_reported",
         "_settings",
         "_upstreams",
+        "_with_reports",
         "counts",
     )
 
@@ -76,6 +77,7 @@
         self._by_domain: dict[str, int] = {}
         self._out: dict[str, set[str]] = {}
         self._reported: set[str] = set()
+        self._with_reports: set[str] = set()
         self._refresh_at: dict[str, float] = {}
         self._platform_revision = -1
         self.counts = {
@@ -176,6 +178,7 @@
         if entry is None:
             return actions
         entry.reports[self._name] = (self._domain, now)
+        self._with_reports.add(upstream)
         self._decide(upstream, entry, actions)
         if upstream not in self._reported or now >= self._refresh_at[upstream]:
             self._reported.add(upstream)
@@ -226,6 +229,7 @@
                     self.counts["reports_full"] += 1
                     return actions
                 entry.reports[rumor.origin] = (rumor.failure_domain, now)
+                self._with_reports.add(rumor.subject)
                 actions.append(Spread(rumor))
             case "live":
                 if held is None:
@@ -238,8 +242,10 @@
     def tick(self, now: float) -> list[UpstreamAction]:
         """Drop reports that were not renewed within `suspicion_ttl_s`."""
         actions: list[UpstreamAction] = []
-        for name, entry in self._upstreams.items():
-            if not entry.reports:
+        for name in list(self._with_reports):
+            entry = self._upstreams.get(name)
+            if entry is None or not entry.reports:
+                self._with_reports.discard(name)
                 continue
             for reporter, (_, at) in list(entry.reports.items()):
                 if now - at >= self._settings.suspicion_ttl_s:
