Place prompts on groups again when memory is short, and drive orders

Cause: a 90,000-token prompt on three engines of 40,000 tokens was refused at once, because another prompt held memory that the lagging report did not show. Ruled out: trusting only fresh reports, which would refuse long prompts for the lag. Conclusion: the prompt waits again until its deadline.

--- a/packages/dandelionpond/src/dandelionpond/node.py
+++ b/packages/dandelionpond/src/dandelionpond/node.py
@@ -47,6 +47,7 @@
 from dandelionpond.runtime.distribution import DistributionRunner
 from dandelionpond.runtime.engines import Engines
 from dandelionpond.runtime.gossip import Gossip
+from dandelionpond.runtime.orders import OrderRunner
 from dandelionpond.runtime.platform import VmListReader
 from dandelionpond.runtime.prompts import PromptRunner
 from dandelionpond.runtime.shutdown import ShutdownRunner
@@ -80,6 +81,7 @@
         self.gossip.settings_events = self.distribution
         self.vms = VmListReader(core, self._platform, self.gossip, self.distribution)
         self.engines = Engines(core, self.gossip)
+        self.orders = OrderRunner(core, self.gossip, self.engines.client)
         self.prompts = PromptRunner(core, self.accounts, self.engines)
         self.calls = CallRunner(core, self.accounts, self.gossip, self._peers)
         self.shutdown = ShutdownRunner(
@@ -230,6 +232,7 @@
         self.distribution.start()
         self.vms.start()
         self.engines.start()
+        self.orders.start()
         self.calls.start()
         lag = self._core.metrics.loop_lag.set
         self._core.tasks.spawn(
--- a/packages/dandelionpond/src/dandelionpond/runtime/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/prompts.py
@@ -44,6 +44,10 @@
 from dandelionpond.runtime.core import Core
 from dandelionpond.runtime.engines import Engines
 
+# Wait before a prompt asks for the memory of several engines again; load reports lag by
+# about as much.
+GROUP_RETRY_S = 0.5
+
 Answer = Delta | End | Failure
 
 
@@ -56,6 +60,7 @@
         self.engines = engines
         self.budgets = RetryBudgets(core.settings.requests)
         self.in_flight = 0
+        self._runs: set[_PromptRun] = set()
         core.on_settings.append(
             lambda settings: self.budgets.configure(settings.requests)
         )
@@ -73,6 +78,7 @@
             yield admitted.error
             return
         run = _PromptRun(self, request)
+        self._runs.add(run)
         self.in_flight += 1
         core.metrics.in_flight.labels("prompt").set(self.in_flight)
         outcome = "cancelled"
@@ -88,6 +94,7 @@
                 yield event
         finally:
             run.close()
+            self._runs.discard(run)
             self.in_flight -= 1
             core.metrics.in_flight.labels("prompt").set(self.in_flight)
             self._count(outcome)
@@ -98,6 +105,11 @@
             core.metrics.tokens.labels("prompt").inc(used)
             core.metrics.tokens.labels("generated").inc(run.generated)
 
+    def cancel_all(self) -> None:
+        """Interrupt every prompt; callers get a failure."""
+        for run in list(self._runs):
+            run.interrupt()
+
     def _count(self, outcome: str) -> None:
         self.core.metrics.requests.labels("prompt", outcome).inc()
 
@@ -138,16 +150,12 @@
             request.deadline,
             request.prefix_hashes,
         )
-        placed = await self._engines.place(work)
+        placed = await self._place_with_memory(work)
         if isinstance(placed, Refuse):
             yield placed.failure
             return
         self._place = placed
         if isinstance(placed, PlaceGroup):
-            failure = await self._engines.reserve_group(placed, request.deadline)
-            if failure is not None:
-                yield failure
-                return
             names: tuple[str, ...] = placed.engines[:1]
         else:
             names = (placed.engine, *placed.others)
@@ -167,6 +175,32 @@
         async for event in self._drive(self._attempts, now):
             yield event
 
+    async def _place_with_memory(self, work: Work) -> Place | PlaceGroup | Refuse:
+        """Place a prompt; one for a group also gets the memory of all its engines.
+
+        Load reports lag, so an engine may have less memory than it seemed. The prompt
+        then waits again, until its deadline.
+        """
+        while True:
+            placed = await self._engines.place(work)
+            if not isinstance(placed, PlaceGroup):
+                return placed
+            failure: Failure | None = None
+            try:
+                failure = await self._engines.reserve_group(placed, work.deadline)
+            except TimeoutError:
+                message = "no engines had the memory in time"
+                failure = Failure(ErrorKind.DEADLINE_BEFORE_SEND, message)
+            except BaseException:
+                self._engines.finished(work.request_id, placed, 0, 0.0)
+                raise
+            if failure is None:
+                return placed
+            self._engines.finished(work.request_id, placed, 0, 0.0)
+            if failure.kind is not ErrorKind.INSUFFICIENT_MEMORY:
+                return Refuse(work.request_id, failure)
+            await asyncio.sleep(GROUP_RETRY_S * (0.5 + self._core.random.random()))
+
     async def _drive(self, attempts: Attempts, now: float) -> AsyncIterator[Answer]:
         event: StreamEvent = Started()
         while True:
@@ -350,6 +384,10 @@
         else:
             self._set_timer(due)
 
+    def interrupt(self) -> None:
+        """End the prompt as if its caller had left."""
+        self._queue.put_nowait(CallerGone())
+
     def close(self) -> None:
         """Stop all attempts and give the engines' memory back."""
         if self._timer is not None:
--- a/packages/dandelionpond/src/dandelionpond/runtime/state.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/state.py
@@ -110,6 +110,7 @@
                 "pending_releases": node.engines.leases.book.pending_releases,
                 "groups": len(node.engines.leases.groups),
             },
+            "orders": {"engines": node.orders.plan.engines_given},
             "record": {"records": len(core.recorder), "dropped": core.recorder.dropped},
             "process": self._process(),
             "counters": self._counters(),
@@ -193,6 +194,7 @@
         slices.add_counters(
             "adoption", lambda: struct(node.engines.leases.adoption.counters)
         )
+        slices.add_counters("orders", lambda: struct(node.orders.plan.counters))
         slices.add_counters("tasks", lambda: core.tasks.counters)
         slices.add_counters("record", lambda: {"dropped": core.recorder.dropped})
         slices.add_size("peers", lambda: sum(1 for _ in node.gossip.membership.peers))
