--- a/packages/dandelionpond/src/dandelionpond/peer/tests/test_client.py
+++ b/packages/dandelionpond/src/dandelionpond/peer/tests/test_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import threading
 
 import msgspec
 import pytest
@@ -42,11 +43,13 @@
     def __init__(self, name="b"):
         self.name = name
         self.calls = 0
+        self.threads = set()
         self.gate = asyncio.Event()
         self.gate.set()
 
     async def exchange(self, message):
         self.calls += 1
+        self.threads.add(threading.get_ident())
         heartbeat = message.exchange.heartbeat
         await self.gate.wait()
         return hello(self.name, heartbeat)
@@ -262,6 +265,18 @@
         asyncio.run(with_relay("none", PATIENT, act))
 
 
+class TestThreads:
+    def test_handlers_run_on_the_thread_of_the_event_loop(self):
+        """Guard against state of one owner that a library thread changes."""
+
+        async def act(client, address, handler, relay):
+            calls = [client.exchange("b", address, hello("a")) for _ in range(20)]
+            await asyncio.gather(*calls)
+            assert handler.threads == {threading.get_ident()}
+
+        asyncio.run(with_relay("none", PATIENT, act))
+
+
 class TestChannels:
     def test_channels_are_bounded_and_reused(self):
         """Guard against one open channel for each peer of the fleet."""
