--- a/packages/dandelionpond/src/dandelionpond/membership/tests/test_upstreams.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/tests/test_upstreams.py
@@ -121,6 +121,21 @@
         assert upstreams.counts["share_bound"] == 8
 
 
+class TestPartition:
+    def test_cut_off_domain_keeps_its_own_upstreams(self):
+        """Guard against unreachable domains that use up the share of the own one."""
+        upstreams = UpstreamView("a", "d1", SETTINGS)
+        domains = ("d1", "d2", "d3")
+        upstreams.configured({f"{d}-{i}": d for d in domains for i in range(6)})
+        for index in range(6):
+            upstreams.suspected(f"d2-{index}", 0.0)
+            upstreams.suspected(f"d3-{index}", 0.0)
+        assert len(upstreams.usable("d1")) == 6
+        upstreams.suspected("d1-0", 0.0)
+        assert upstreams.state_of("d1-0") is UpstreamState.SUSPECT
+        assert len(upstreams.usable("d1")) == 5
+
+
 class TestTable:
     def test_bound_removes_only_unconfigured(self):
         """Guard against a table that grows with every registration."""
