Answer may_have_run for a refused call whose key was not looked up

Cause: a call with an idempotency key was refused with `not_run` by a node that was draining, over a limit or without the service any more, before it looked at the key. The first try with that key may have run through another node.

Ruled out: looking the key up first; a node that is not the issuer cannot know, and an overloaded node should not ask. Refusals for a missing or wrong bearer key stay `not_run`, since such a request is not from the key's account.

--- a/packages/dandelionpond/src/dandelionpond/errors.py
+++ b/packages/dandelionpond/src/dandelionpond/errors.py
@@ -35,6 +35,7 @@
     TICKET_MISMATCH = "ticket_mismatch"
     ISSUER_UNREACHABLE = "issuer_unreachable"
     CALL_IN_PROGRESS = "call_in_progress"
+    KEY_UNRESOLVED = "key_unresolved"
     RATE_LIMITED = "rate_limited"
     CONCURRENCY_LIMITED = "concurrency_limited"
     OVERLOADED = "overloaded"
@@ -103,6 +104,9 @@
     ErrorKind.TICKET_EXPIRED: _may_have_run(409, _CALLER),
     ErrorKind.TICKET_MISMATCH: _may_have_run(409, _CALLER),
     ErrorKind.ISSUER_UNREACHABLE: _may_have_run(503, _SERVER),
+    # The call was refused before its key was looked up, and an earlier try with the
+    # same key may have run.
+    ErrorKind.KEY_UNRESOLVED: _may_have_run(503, _SERVER),
     ErrorKind.CALL_IN_PROGRESS: _may_have_run(409, _CALLER),
     ErrorKind.RATE_LIMITED: _not_run(429, _LIMIT, True),
     ErrorKind.CONCURRENCY_LIMITED: _not_run(429, _LIMIT, True),
--- a/packages/dandelionpond/src/dandelionpond/http/callers.py
+++ b/packages/dandelionpond/src/dandelionpond/http/callers.py
@@ -23,6 +23,7 @@
 from dandelionpond.http.body import read_body
 from dandelionpond.http.forms import (
     DEFAULT_MAX_TOKENS,
+    IDEMPOTENCY_HEADER,
     ChatForm,
     CompletionForm,
     check_headers,
@@ -34,6 +35,7 @@
 from dandelionpond.http.server import new_request_id
 from dandelionpond.http.stream import ChatFormat, CompletionFormat, PromptResponse
 from dandelionpond.http.tokens import estimate_tokens, prefix_hashes
+from dandelionpond.requests.ticket_book import while_key_unknown
 
 ALL = "*"
 
@@ -98,9 +100,9 @@
         async def endpoint(request: Request) -> Response:
             request_id = new_request_id()
             caller = self._identify(request, request_id)
-            result: Answered = Error(caller.error) if caller.is_error() else Ok(None)
-            if caller.is_ok():
-                result = await handler(request, caller.ok)
+            if caller.is_error():
+                return self._fail(_before_lookup(request, caller.error), request_id)
+            result = await handler(request, caller.ok)
             if result.is_ok():
                 return result.ok
             return self._fail(result.error, request_id)
@@ -246,13 +248,13 @@
     async def _call(self, request: Request, caller: Caller) -> Answered:
         service = self._service(request, caller)
         if service.is_error():
-            return Error(service.error)
+            return Error(_before_lookup(request, service.error))
         key = idempotency_key(request.headers)
         if key.is_error():
             return Error(key.error)
         body = await read_body(request, caller.settings.requests)
         if body.is_error():
-            return Error(body.error)
+            return Error(_before_lookup(request, body.error))
         call = CallRequest(
             caller.request_id,
             caller.name,
@@ -279,6 +281,20 @@
         )
 
 
+def _before_lookup(request: Request, failure: Failure) -> Failure:
+    """Return a refusal that is true for an earlier try with the same key as well.
+
+    A request without the right bearer key is not from the key's client account, so
+    its refusal says nothing about an earlier try.
+    """
+    is_call = request.url.path.endswith("/calls")
+    if not is_call or IDEMPOTENCY_HEADER not in request.headers:
+        return failure
+    if failure.kind in (ErrorKind.MISSING_KEY, ErrorKind.INVALID_KEY):
+        return failure
+    return while_key_unknown(failure)
+
+
 def _execution(status: int) -> Execution:
     """Return what the answer of a service says of the execution.
 
--- a/packages/dandelionpond/src/dandelionpond/http/tests/test_callers.py
+++ b/packages/dandelionpond/src/dandelionpond/http/tests/test_callers.py
@@ -337,3 +337,38 @@
                 return answer.status, (await answer.json())["error"]["code"]
 
         assert asyncio.run(scenario()) == (503, "draining")
+
+    @pytest.mark.parametrize(
+        ("accepting", "service", "body", "timeout"),
+        [
+            (False, "stock", b"1", "1000"),
+            (True, "pay", b"1", "1000"),
+            (True, "stock", b" " * 20_001, "1000"),
+            (True, "stock", b"1", "0"),
+        ],
+        ids=["draining", "not_permitted_any_more", "too_large", "deadline_over"],
+    )
+    def test_refusal_of_a_known_key_does_not_say_not_run(
+        self, accepting, service, body, timeout
+    ):
+        """Guard against `not_run` for a key whose first try ran through another node.
+
+        A second try was answered `draining` with `not_run` although the first one had
+        run.
+        """
+
+        async def scenario():
+            gateway = FakeGateway(max_body_bytes=20_000)
+            gateway.accepting = accepting
+            headers = AUTH | {
+                "Idempotency-Key": "used-before",
+                "X-Request-Timeout-Ms": timeout,
+            }
+            async with serving(gateway) as (session, _):
+                path = f"/v1/services/{service}/calls"
+                answer = await session.post(path, data=body, headers=headers)
+                return (await answer.json())["error"]
+
+        error = asyncio.run(scenario())
+        assert error["code"] == "key_unresolved"
+        assert error["execution"] == "may_have_run"
--- a/packages/dandelionpond/src/dandelionpond/membership/peers.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/peers.py
@@ -145,7 +145,7 @@
 
     def message_for(self, receiver: str) -> Exchange:
         """Return a request to a peer outside the periodic gossip."""
-        return self._message(receiver, is_full=True, is_request=True)
+        return self._message(receiver)
 
     def settings_changed(self, revision: int, digest: str, now: float) -> None:
         """Carry a new settings revision in messages and relay it at once."""
--- a/packages/dandelionpond/src/dandelionpond/requests/ticket_book.py
+++ b/packages/dandelionpond/src/dandelionpond/requests/ticket_book.py
@@ -256,11 +256,11 @@
 def while_key_unknown(failure: Failure) -> Failure:
     """Return the failure that a node may answer for a key it cannot look up.
 
-    A node that forwards a ticket does not know whether an earlier use ran, so its own
-    `not_run` refusal (limit, overload, shutdown) becomes `issuer_unreachable`.
+    A node that refuses a call before its key is looked up (limit, overload, shutdown)
+    does not know whether an earlier use ran, so its `not_run` becomes `key_unresolved`.
     """
     if failure.execution is Execution.NOT_RUN:
-        return _failure(ErrorKind.ISSUER_UNREACHABLE, failure.message)
+        return _failure(ErrorKind.KEY_UNRESOLVED, failure.message)
     return failure
 
 
