Test stale reports, stale lists and oversized answers

Trials that removed one condition at a time on a scratch copy left 5 of 19 unnoticed: the age of a report, a report older than the last order, a list from before a short pause, the size bound of answers, and the report's age after a pause. Tests now cover the first four; the fifth is implied by the first.

--- a/packages/dandelionpond/src/dandelionpond/adapters/tests/engine_harness.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/tests/engine_harness.py
@@ -55,14 +55,15 @@
 class RawServer:
     """Answer each connection with fixed bytes, then close, reset or stay silent."""
 
-    def __init__(self, chunks, then="close"):
+    def __init__(self, chunks, then="close", settings=None):
+        self._settings = settings
         self._chunks = chunks
         self._then = then
         self._open = []
 
     async def __aenter__(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self._sessions = EngineSessions()
+        self._sessions = EngineSessions(self._settings)
         port = self._server.sockets[0].getsockname()[1]
         return HttpEngineClient(self._sessions, f"http://127.0.0.1:{port}")
 
--- a/packages/dandelionpond/src/dandelionpond/adapters/tests/test_engine.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/tests/test_engine.py
@@ -5,7 +5,11 @@
 
 import pytest
 
-from dandelionpond.adapters.engine import EngineSessions, HttpEngineClient
+from dandelionpond.adapters.engine import (
+    EngineClientSettings,
+    EngineSessions,
+    HttpEngineClient,
+)
 from dandelionpond.adapters.engine_api import (
     Broken,
     End,
@@ -300,6 +304,20 @@
 
         asyncio.run(run())
 
+    def test_answers_are_bounded_in_size(self):
+        """Guard against an engine that fills the memory of the node."""
+
+        async def run():
+            small = EngineClientSettings(max_stream_bytes=400, max_answer_bytes=400)
+            pieces = b"".join(piece(index) for index in range(20))
+            async with RawServer([HEAD + pieces], settings=small) as client:
+                events = await collect(client, ask())
+                assert events[-1].failure.kind is ErrorKind.ANSWER_TOO_LARGE
+                listed = await client.holdings(5.0)
+                assert listed.error.kind is ErrorKind.ANSWER_TOO_LARGE
+
+        asyncio.run(run())
+
 
 class TestEventReader:
     def test_events_of_one_read_are_joined(self):
--- a/packages/dandelionpond/src/dandelionpond/memory/tests/test_adoption.py
+++ b/packages/dandelionpond/src/dandelionpond/memory/tests/test_adoption.py
@@ -71,3 +71,12 @@
         assert adoption.scanned(scan, dead, LIVE, 101.0, 103.5) == []
         assert adoption.counters.discarded == 2
         assert adoption.scanned(scan, dead, LIVE, 103.4, 103.5) != []
+
+    def test_recent_list_from_before_a_short_pause_is_discarded(self):
+        """Guard against a list that is young but older than the membership view."""
+        adoption, scan = ready()
+        dead = [held("x", "gone/1", -5.0)]
+        assert adoption.tick(["e"], {"a"}, 3.0, 3.05) == []
+        assert adoption.tick(["e"], {"a"}, 3.06, 3.08) == [scan]
+        assert adoption.scanned(scan, dead, LIVE, 1.2, 3.1) == []
+        assert adoption.scanned(scan, dead, LIVE, 3.08, 3.1) != []
--- a/packages/dandelionpond/src/dandelionpond/orders/tests/test_plan.py
+++ b/packages/dandelionpond/src/dandelionpond/orders/tests/test_plan.py
@@ -247,6 +247,42 @@
         assert {type(action) for action in actions} == {AskReport}
 
 
+class TestReports:
+    def plan(self, **fields):
+        settings = settings_of("1", 1, orders=OrdersSettings(**fields))
+        plan = OrderPlan(Identity("n0", 1, 1), "d")
+        plan.configure(1, settings, 0.0)
+        plan.tick({"n0"}, 0.0, 0.0)
+        plan.tick({"n0"}, 0.5, 1.0)
+        return plan
+
+    def orders(self, plan, now):
+        actions = plan.tick({"n0"}, now, now)
+        return [action for action in actions if isinstance(action, SendOrder)]
+
+    def test_no_order_on_an_old_report(self):
+        """Guard against an order from a report that other orders have overtaken."""
+        plan = self.plan()
+        models = {"m": ModelState("1", "ready", {"x": "ready"})}
+        plan.reported("e0", EngineReport(models, "general"), 1.0)
+        for now in (2.0, 3.0, 4.0):
+            assert self.orders(plan, now) == []
+        plan.configure(2, settings_of("1", 1, role="long"), 4.1)
+        assert self.orders(plan, 4.5) == []
+        plan.reported("e0", EngineReport(models, "general"), 4.5)
+        assert len(self.orders(plan, 5.0)) == 1
+
+    def test_no_repeat_before_a_report_that_can_show_the_effect(self):
+        """Guard against repeats while no report has followed the order."""
+        plan = self.plan(repeat_after_s=1.0)
+        plan.reported("e0", EngineReport({}, "short"), 1.0)
+        assert len(self.orders(plan, 1.5)) == 1
+        assert self.orders(plan, 3.0) == []
+        plan.reported("e0", EngineReport({}, "short"), 3.0)
+        assert len(self.orders(plan, 3.5)) == 1
+        assert plan.counters.repeated == 1
+
+
 class TestPace:
     def test_roll_out_keeps_the_rate_of_the_weight_store(self):
         """Guard against a fleet that loads a new version all at once."""
