Spend the last attempt on an engine that has not failed, and log only changes

Cause: behind a cut path a prompt failed at its deadline although another engine worked: the third attempt was indexed by the number of attempts and went to the first engine again. Ruled out: more attempts; the choice was wrong, not the count. Also: an error of the operators' API answers with the error table, and the first settings of a node no longer write a log line for each upstream.

--- a/packages/dandelionpond/src/dandelionpond/config/local.py
+++ b/packages/dandelionpond/src/dandelionpond/config/local.py
@@ -23,7 +23,9 @@
     """Hold what a node must know before it can reach anything else.
 
     Addresses are `IP:port`. `operator_key_hash` is the SHA-256 hash of the operators'
-    bearer key, in hexadecimal. `log_level` is a level name of `logging`.
+    bearer key, in hexadecimal. `log_level` is a level name of `logging`. `peer_routes`
+    and `upstream_routes` give other addresses or URLs for peers and upstreams by name,
+    where this node reaches them under another address than they announce.
     """
 
     name: str
@@ -35,6 +37,8 @@
     operator_key_hash: Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
     settings_prefix: str = "settings/"
     seeds: tuple[Seed, ...] = ()
+    peer_routes: dict[str, Address] = {}
+    upstream_routes: dict[str, str] = {}
     log_level: str = "INFO"
     random_seed: int | None = None
     tls_certificate: str | None = None
--- a/packages/dandelionpond/src/dandelionpond/http/answers.py
+++ b/packages/dandelionpond/src/dandelionpond/http/answers.py
@@ -3,9 +3,10 @@
 import math
 
 import msgspec
+from starlette.requests import Request
 from starlette.responses import Response
 
-from dandelionpond.errors import Failure
+from dandelionpond.errors import ErrorKind, Failure
 
 JSON = "application/json"
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -44,6 +45,12 @@
     return Response(error_body(failure, request_id), answer.status, headers, JSON)
 
 
+async def internal_error(request: Request, error: Exception) -> Response:
+    """Answer a fault of this program; the server logs its traceback."""
+    failure = Failure(ErrorKind.INTERNAL, "this node failed to serve the request")
+    return error_response(failure, "")
+
+
 def json_response(
     value: object, status: int = 200, headers: dict[str, str] | None = None
 ) -> Response:
--- a/packages/dandelionpond/src/dandelionpond/http/callers.py
+++ b/packages/dandelionpond/src/dandelionpond/http/callers.py
@@ -18,6 +18,7 @@
     JSON,
     REQUEST_ID_HEADER,
     error_response,
+    internal_error,
     json_response,
 )
 from dandelionpond.http.body import read_body
@@ -91,7 +92,7 @@
                 "/v1/services/{service}/calls", self._wrap(self._call), methods=["POST"]
             ),
         ]
-        handlers = {HTTPException: self._http_error}
+        handlers = {HTTPException: self._http_error, Exception: internal_error}
         return Starlette(routes=routes, exception_handlers=handlers)  # type: ignore[arg-type]
 
     def _wrap(
--- a/packages/dandelionpond/src/dandelionpond/http/operators.py
+++ b/packages/dandelionpond/src/dandelionpond/http/operators.py
@@ -14,7 +14,7 @@
 from starlette.routing import Route
 
 from dandelionpond.errors import ErrorKind, Failure
-from dandelionpond.http.answers import error_response, json_response
+from dandelionpond.http.answers import error_response, internal_error, json_response
 from dandelionpond.http.keys import bearer_key, matches
 from dandelionpond.http.openapi import operators_description
 from dandelionpond.http.server import new_request_id
@@ -92,7 +92,7 @@
             self._route("/v1/drain", self._drain, method="POST"),
             self._route("/v1/openapi.json", self._openapi),
         ]
-        handlers = {HTTPException: self._http_error}
+        handlers = {HTTPException: self._http_error, Exception: internal_error}
         return Starlette(routes=routes, exception_handlers=handlers)  # type: ignore[arg-type]
 
     def _route(self, path: str, handler: Handler, method: str = "GET") -> Route:
--- a/packages/dandelionpond/src/dandelionpond/requests/attempts.py
+++ b/packages/dandelionpond/src/dandelionpond/requests/attempts.py
@@ -69,6 +69,7 @@
         "_request_id",
         "_result",
         "_settings",
+        "_tries",
         "_undelivered",
         "dropped_full",
         "late_events",
@@ -95,6 +96,7 @@
         self._assembly = StreamAssembly(settings.reorder_pieces)
         self._open: list[_Open] = []
         self._count = 0
+        self._tries: dict[str, int] = {}
         # An attempt that is no longer open had sent a byte.
         self._dropped_sent = False
         self._undelivered = 0
@@ -313,10 +315,12 @@
         )
 
     def _next_engine(self) -> str:
-        return self._engines[self._count % len(self._engines)]
+        """Return the engine with the fewest attempts so far, the best one of those."""
+        return min(self._engines, key=lambda engine: self._tries.get(engine, 0))
 
     def _begin(self, engine: str, now: float) -> list[StreamAction]:
         self._count += 1
+        self._tries[engine] = self._tries.get(engine, 0) + 1
         request_id = f"{self._request_id}-{self._count}"
         pace = Pace(self._settings, self._estimate_s, now)
         if self._paused:
--- a/packages/dandelionpond/src/dandelionpond/requests/tests/test_attempts.py
+++ b/packages/dandelionpond/src/dandelionpond/requests/tests/test_attempts.py
@@ -20,12 +20,12 @@
 
 
 class Run:
-    def __init__(self, hedge_after_s=None, estimate_s=1.0, **fields):
+    def __init__(self, hedge_after_s=None, estimate_s=1.0, engines=ENGINES, **fields):
         settings = RequestsSettings(**{"silence_factor": 4.0, **fields})
         self.clock = ManualClock()
         self.budget = RetryBudget(settings)
         self.attempts = Attempts(
-            "r", ENGINES, settings, self.budget, 1_000.0, estimate_s, hedge_after_s
+            "r", engines, settings, self.budget, 1_000.0, estimate_s, hedge_after_s
         )
 
     def handle(self, event, after=0.0):
@@ -84,6 +84,18 @@
         assert cancel.attempt == 1 and resume.engine != "e1" and resume.offset == 2
         assert run.tick() == [] and run.attempts.result is None
 
+    def test_engine_that_failed_twice_is_not_the_next_one(self):
+        """Guard against a last attempt spent on an engine behind a cut path.
+
+        With two engines the third attempt went to the first engine again, and the
+        prompt failed at its deadline although the second engine worked.
+        """
+        run = Run(engines=("e1", "e2"))
+        run.start()
+        assert run.tick() == [msg.Send(2, "e1", "r-2", True)]
+        actions = run.handle(msg.ConnectFailed(2))
+        assert msg.Send(3, "e2", "r-3", True) in actions
+
     def test_silence_bound_follows_the_pace(self):
         """Guard against a slow stream that is taken for a silent one."""
         run = Run(estimate_s=10.0)
--- a/packages/dandelionpond/src/dandelionpond/runtime/calls.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/calls.py
@@ -180,7 +180,7 @@
         issuer under it: a caller must not choose where a node connects to.
         """
         known = self._gossip.address_of(issuer)
-        if known is None or known != address:
+        if known is None or self._gossip.announced_address(issuer) != address:
             message = "the issuer of this ticket is not known to this node"
             return Error(Failure(ErrorKind.ISSUER_UNREACHABLE, message))
         assert request.key is not None
@@ -378,7 +378,7 @@
 
         result = await self._client.call(
             ServiceRequest(
-                upstream.url.rstrip("/") + rule.path,
+                self._core.url_of(action.worker, upstream.url) + rule.path,
                 action.request_id,
                 self._request.body,
                 max(0.001, self._call.next_tick() - self._core.now()),
--- a/packages/dandelionpond/src/dandelionpond/runtime/core.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/core.py
@@ -81,6 +81,10 @@
         """Return the monotonic time in seconds."""
         return self.clock.monotonic()
 
+    def url_of(self, upstream: str, published: str) -> str:
+        """Return the base URL under which this node reaches an upstream."""
+        return self.local.upstream_routes.get(upstream, published).rstrip("/")
+
     def record(self, decision: Decision, input: object, outcome: object) -> None:
         """Record a decision with its whole input."""
         at = self.clock.wall().timestamp()
--- a/packages/dandelionpond/src/dandelionpond/runtime/engines.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/engines.py
@@ -154,7 +154,7 @@
             self.leases.book.forget(name)
         for name, upstream in engines.items():
             if self._urls.get(name) != upstream.url or name not in self._clients:
-                self._clients[name] = self._make_client(upstream)
+                self._clients[name] = self._make_client(name, upstream)
                 self._urls[name] = upstream.url
         region = self._core.region
         domains = settings.failure_domains
@@ -166,10 +166,11 @@
         self.dispatcher.configure(settings, usable, self._core.now())
         self._poll_reach()
 
-    def _make_client(self, upstream: EngineUpstream) -> EngineClient:
+    def _make_client(self, name: str, upstream: EngineUpstream) -> EngineClient:
+        url = self._core.url_of(name, upstream.url)
         match upstream.adapter:
             case "reference":
-                return HttpEngineClient(self._sessions, upstream.url)
+                return HttpEngineClient(self._sessions, url)
 
     def _poll_reach(self) -> None:
         reach = set(self.dispatcher.engines)
--- a/packages/dandelionpond/src/dandelionpond/runtime/gossip.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/gossip.py
@@ -89,7 +89,11 @@
         tasks.every(lambda: UPSTREAM_TICK_S, self._upstream_tick, "upstream-states")
 
     def address_of(self, name: str) -> str | None:
-        """Return the peer address of a node, or None if it is unknown."""
+        """Return the address to connect to a node, or None if it is unknown."""
+        return self._core.local.peer_routes.get(name) or self.announced_address(name)
+
+    def announced_address(self, name: str) -> str | None:
+        """Return the address that a node announces, or None if it is unknown."""
         peer = self.membership.peer(name)
         if peer is not None and peer.address:
             return peer.address
@@ -151,7 +155,8 @@
             name: upstream.failure_domain
             for name, upstream in settings.upstreams.items()
         }
-        self._perform_upstream(self.upstreams.configured(domains))
+        # Each upstream of a first revision becomes live: that is no change of state.
+        self._perform_upstream(self.upstreams.configured(domains), is_logged=False)
 
     async def _tick(self) -> None:
         now = self._core.now()
@@ -184,6 +189,7 @@
 
     async def _send(self, name: str, address: str, message: PeerMessage) -> None:
         asked_at = self._core.now()
+        address = self._core.local.peer_routes.get(name, address)
         result = await self._peers.exchange(name, address, message)
         if result.is_error():
             self._perform(self.membership.exchange_failed(name, self._core.now()))
@@ -241,15 +247,18 @@
         if self.settings_events is not None:
             self.settings_events.handle(PeersChanged(live))
 
-    def _perform_upstream(self, actions: list[UpstreamAction]) -> None:
+    def _perform_upstream(
+        self, actions: list[UpstreamAction], is_logged: bool = True
+    ) -> None:
         for action in actions:
             match action:
                 case Spread(rumor):
                     self.membership.spread(rumor, self._core.now())
                 case UpstreamChanged():
-                    log.info(
-                        "upstream changed",
-                        extra={"upstream": action.upstream, "state": action.state},
-                    )
+                    if is_logged:
+                        log.info(
+                            "upstream changed",
+                            extra={"upstream": action.upstream, "state": action.state},
+                        )
                     for listener in self.listeners:
                         listener.upstream_changed(action)
--- a/packages/standins/src/dandelionpond_standins/launcher.py
+++ b/packages/standins/src/dandelionpond_standins/launcher.py
@@ -24,6 +24,7 @@
 from dandelionpond.config.merge import merge_folder
 from dandelionpond.config.schema import EngineUpstream, ServiceUpstream, Settings
 from dandelionpond.http.keys import hash_key
+from dandelionpond_standins.relay import Relay, Rule
 
 HOST = "127.0.0.1"
 # Below the range from which the operating system takes ports for outgoing connections,
@@ -44,7 +45,9 @@
     """Describe a stack.
 
     `overlay` is merged over the published folder. `engine_speed` is the number of model
-    seconds for each real second. `engine_arguments` go to each engine stand-in.
+    seconds for each real second. `engine_arguments` go to each engine stand-in. With
+    `relayed` each path from a node to a peer, an upstream or the platform goes through
+    a relay of its own.
     """
 
     settings: Path
@@ -54,6 +57,7 @@
     service_arguments: tuple[str, ...] = ()
     overlay: dict[str, Any] = {}
     start_nodes: bool = True
+    relayed: bool = False
 
 
 class Child:
@@ -125,6 +129,8 @@
         self._seeds: list[dict[str, str]] = []
         self._locals: dict[str, Path] = {}
         self._session: aiohttp.ClientSession | None = None
+        # Relays by the node at their start and the name at their end.
+        self.relays: dict[tuple[str, str], Relay] = {}
 
     @property
     def published(self) -> Path:
@@ -182,6 +188,8 @@
 
     async def close(self) -> None:
         """Stop every process and remove the temporary folder."""
+        for relay in self.relays.values():
+            await relay.close()
         for child in self.children:
             child.send_signal(signal.SIGCONT)
             child.send_signal(signal.SIGKILL)
@@ -201,6 +209,8 @@
         for name, domain in specs:
             self._local_settings(name, domain)
         self._write_seeds()
+        if self.options.relayed:
+            await self._relay_paths()
         await asyncio.gather(*(self.start_node(name) for name, _ in specs))
 
     async def start_node(self, name: str) -> Child:
@@ -242,6 +252,62 @@
         address = str(child.line.get("peer_address", child.address))
         await self._register(name, role, address, child.failure_domain, state)
 
+    def paths(
+        self, sources: Iterable[str] = (), targets: Iterable[str] = ()
+    ) -> list[Relay]:
+        """Return the relays from some nodes to some ends; empty means all."""
+        starts, ends = set(sources), set(targets)
+        return [
+            relay
+            for (start, end), relay in self.relays.items()
+            if (not starts or start in starts) and (not ends or end in ends)
+        ]
+
+    async def partition(self, domains: Iterable[str], rule: Rule) -> None:
+        """Apply a rule to every path that crosses the border of some domains.
+
+        The platform is on the other side.
+        """
+        inside = {
+            child.name for child in self.children if child.failure_domain in domains
+        }
+        for (start, end), relay in self.relays.items():
+            if (start in inside) != (end in inside):
+                await relay.apply(rule)
+
+    async def heal(self) -> None:
+        """Let all paths work again; connections that dropped bytes are reset."""
+        for relay in self.relays.values():
+            await relay.apply(Rule())
+            relay.reset()
+
+    async def _relay_paths(self) -> None:
+        assert self.platform is not None
+        for name, path in self._locals.items():
+            local = json.loads(path.read_text())
+            local["peer_routes"] = {
+                seed["name"]: await self._relay(
+                    name, seed["name"], seed["peer_address"]
+                )
+                for seed in self._seeds
+                if seed["name"] != name
+            }
+            local["upstream_routes"] = {
+                child.name: "http://"
+                + await self._relay(name, child.name, child.address)
+                for child in (*self.engines.values(), *self.services.values())
+            }
+            address = await self._relay(name, "platform", self.platform.address)
+            local["platform_url"] = f"http://{address}"
+            path.write_text(json.dumps(local))
+
+    async def _relay(self, start: str, end: str, address: str) -> str:
+        host, _, port = address.rpartition(":")
+        relay = Relay((host, int(port)))
+        await relay.start()
+        self.relays[start, end] = relay
+        return "{}:{}".format(*relay.address)
+
     async def _start_upstreams(self) -> None:
         tasks = []
         for name, upstream in self.settings.upstreams.items():
