Let the stream world finish answers

The random steps ended 0 of 166 recorded examples with a complete answer and 5 with any text, so the invariant on the text was hardly tested. Ruled out: too few examples; resets and silence used up all attempts. Faults are rarer now, pieces flow in bursts with disorder, and an engine can go back.

--- a/packages/dandelionpond/src/dandelionpond/requests/tests/test_attempts.py
+++ b/packages/dandelionpond/src/dandelionpond/requests/tests/test_attempts.py
@@ -182,16 +182,19 @@
             assert not run.attempts.may_send(2, run.clock.monotonic())
 
 
-TRUTH = "".join(chr(0x4E00 + number) for number in range(40))
+TRUTH = "".join(chr(0x4E00 + number) for number in range(20))
 
 
 class StreamWorld(RuleBasedStateMachine):
     """Deliver pieces in any order, more than once or never."""
 
+    ages = st.sampled_from([0, 0, 0, 1, 2])
+    sizes = st.lists(st.integers(1, 5), min_size=1, max_size=3)
+
     def __init__(self):
         super().__init__()
         self.run = Run(
-            max_attempts=4, retry_burst=9, reorder_pieces=3, undelivered_pieces=6
+            max_attempts=6, retry_burst=9, reorder_pieces=3, undelivered_pieces=3
         )
         self.text = ""
         self.ended = None
@@ -200,6 +203,8 @@
         self.engines = {}
         self.holding = set()
         self.waiting = 0
+        # Attempts that have sent their end marker.
+        self.done = set()
 
     @initialize(hedge=st.sampled_from([None, 0.5]))
     def start(self, hedge):
@@ -232,33 +237,49 @@
                     self.ended = action
                     assert action.failure.execution is Execution.MAY_HAVE_RUN
 
-    def pick(self, number):
-        return sorted(self.engines)[number % len(self.engines)]
+    def pick(self, age):
+        """Return the newest attempt for 0, an older one for higher numbers."""
+        return sorted(self.engines)[-1 - age % len(self.engines)]
 
-    @rule(number=st.integers(0, 9), sizes=st.lists(st.integers(1, 9), max_size=6))
-    def engine_emits(self, number, sizes):
-        attempt = self.pick(number)
+    def emit(self, attempt, sizes):
         for size in sizes:
             offset = self.engines[attempt]
             text = TRUTH[offset : offset + size]
             if text:
-                name = f"r-{attempt}"
-                self.wire.append(msg.Piece(attempt, name, offset, len(text), text))
+                piece = msg.Piece(attempt, f"r-{attempt}", offset, len(text), text)
+                self.wire.append(piece)
                 self.engines[attempt] += len(text)
-
-    @rule(number=st.integers(0, 9))
-    def engine_ends(self, number):
-        attempt = self.pick(number)
-        if self.engines[attempt] == len(TRUTH):
-            self.holding.discard(attempt)
+        if self.engines[attempt] == len(TRUTH) and attempt not in self.done:
+            self.done.add(attempt)
             self.wire.append(msg.Finished(attempt, f"r-{attempt}", len(TRUTH)))
 
+    @rule(age=ages, sizes=sizes, back=st.sampled_from([0, 0, 0, 2]))
+    def engine_emits(self, age, sizes, back):
+        """Emit pieces; an engine that goes back repeats and overlaps earlier ones."""
+        attempt = self.pick(age)
+        self.engines[attempt] = max(0, self.engines[attempt] - back)
+        self.emit(attempt, sizes)
+
+    @rule(age=ages, sizes=sizes, disorder=st.sampled_from([0, 0, 1, 2]))
+    def flow(self, age, sizes, disorder):
+        """Deliver all that is under way, some of it early and twice."""
+        self.emit(self.pick(age), sizes)
+        while self.wire:
+            index = min(disorder, len(self.wire) - 1)
+            event = self.wire.pop(index)
+            for _ in range(1 + disorder % 2):
+                self.arrive_now(event)
+            disorder = 0
+
     @precondition(lambda self: self.wire)
-    @rule(index=st.integers(0, 99), keep=st.sampled_from([False, False, False, True]))
-    def arrive(self, index, keep):
-        event = self.wire[0 if index > 30 else index % len(self.wire)]
-        if not keep:
-            self.wire.remove(event)
+    @rule(index=st.integers(0, 9))
+    def arrive(self, index):
+        self.arrive_now(self.wire.pop(index % len(self.wire)))
+
+    def arrive_now(self, event):
+        if isinstance(event, msg.Finished):
+            # An engine that has sent its end marker holds no memory.
+            self.holding.discard(event.attempt)
         self.take(event, after=0.05)
 
     @precondition(lambda self: self.wire)
@@ -275,19 +296,17 @@
             self.take(msg.Piece(attempt, f"r-{request}", offset, 1, "wrong"))
             self.take(msg.Finished(attempt, f"r-{request}", offset))
 
-    @rule(number=st.integers(0, 9), event=st.sampled_from([msg.Reset, msg.Silent]))
-    def fault(self, number, event):
-        self.take(event(self.pick(number)))
-
-    @rule()
-    def tick(self):
-        if self.ended is None:
-            due = self.run.attempts.next_tick() - self.run.clock.monotonic()
-            self.take(msg.Tick(), after=max(0.0, due) + 0.01 if due < 100 else 0.01)
+    @rule(age=ages, event=st.sampled_from([msg.Reset, msg.Silent, None, None, None]))
+    def fault(self, age, event):
+        if event is not None:
+            self.take(event(self.pick(age)))
 
-    @rule()
-    def pause_node(self):
-        self.take(msg.Tick(), after=20.0)
+    @rule(wait=st.sampled_from(["short", "short", "short", "due", "pause"]))
+    def tick(self, wait):
+        due = self.run.attempts.next_tick() - self.run.clock.monotonic()
+        after = {"short": 0.01, "due": max(0.0, due) + 0.01, "pause": 20.0}[wait]
+        if after < 100.0:
+            self.take(msg.Tick(), after)
 
     @rule(pieces=st.integers(1, 8))
     def caller_takes(self, pieces):
@@ -298,10 +317,10 @@
     @invariant()
     def text_is_a_prefix_and_work_is_bounded(self):
         assert TRUTH.startswith(self.text)
-        assert len(self.engines) <= 4
+        assert len(self.engines) <= 6
         assert self.run.budget.taken == max(0, len(self.engines) - 1)
-        # One flush of the reorder buffer can pass the hard bound of 2 x 6 pieces.
-        assert self.waiting <= 12 + 3
+        # One flush of the reorder buffer can pass the hard bound of 2 x 3 pieces.
+        assert self.waiting <= 6 + 3
 
     def teardown(self):
         if self.ended is None:
