--- a/packages/dandelionpond/src/dandelionpond/requests/tests/test_attempts.py
+++ b/packages/dandelionpond/src/dandelionpond/requests/tests/test_attempts.py
@@ -72,7 +72,8 @@
             msg.Deliver(2, "c"),
             msg.Cancel(1, "e1", "r-1", True),
         ]
-        assert run.piece(1, 2, "cd") == []
+        assert run.piece(1, 2, "cd") == [] and run.piece(1, 3, "d") == []
+        assert run.handle(msg.Finished(1, "r-1", 3)) == []
 
     def test_second_silence_moves_to_another_engine(self):
         """Guard against a dead engine that is tested again and again."""
@@ -205,6 +206,7 @@
         self.waiting = 0
         # Attempts that have sent their end marker.
         self.done = set()
+        self.cancelled = set()
 
     @initialize(hedge=st.sampled_from([None, 0.5]))
     def start(self, hedge):
@@ -226,6 +228,7 @@
                 case msg.Cancel():
                     assert action.may_hold or action.attempt not in self.holding
                     self.holding.discard(action.attempt)
+                    self.cancelled.add(action.attempt)
                 case msg.Deliver():
                     assert action.offset == len(self.text)
                     self.text += action.text
@@ -280,7 +283,9 @@
         if isinstance(event, msg.Finished):
             # An engine that has sent its end marker holds no memory.
             self.holding.discard(event.attempt)
+        text, cancelled = self.text, event.attempt in self.cancelled
         self.take(event, after=0.05)
+        assert not cancelled or self.text == text
 
     @precondition(lambda self: self.wire)
     @rule(index=st.integers(0, 99))
