--- a/packages/dandelionpond/src/dandelionpond/adapters/engine.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/engine.py
@@ -3,8 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Callable
-from types import SimpleNamespace
-from typing import Any, TypeVar
+from typing import TypeVar
 
 import aiohttp
 import msgspec
@@ -21,6 +20,7 @@
     Piece,
     StreamEvent,
 )
+from dandelionpond.adapters.engine_session import EngineSessions, Sending
 from dandelionpond.adapters.sse import EventReader
 from dandelionpond.errors import ErrorKind, Failure
 from dandelionpond.memory.messages import Holding, HoldingKind
@@ -33,77 +33,6 @@
 _END_S = 0.2
 
 
-class EngineClientSettings(msgspec.Struct, frozen=True):
-    """Bound sizes in bytes and times in seconds of the engine client.
-
-    8,192 output tokens of at most some 100 bytes with their event frame stay below
-    `max_stream_bytes`; 20,000 holdings of about 150 bytes stay below
-    `max_answer_bytes`.
-    """
-
-    connect_timeout_s: float = 2.0
-    max_connections: int = 5_000
-    max_event_bytes: int = 256 * 1024
-    max_stream_bytes: int = 64 * 1024 * 1024
-    max_answer_bytes: int = 8 * 1024 * 1024
-
-
-class EngineSessions:
-    """Hold the HTTP sessions that the clients of all engines share.
-
-    Create it inside the running loop. `fresh` never reuses a connection.
-    """
-
-    __slots__ = ("fresh", "pooled", "settings")
-
-    def __init__(self, settings: EngineClientSettings | None = None) -> None:
-        self.settings = settings or EngineClientSettings()
-        self.pooled = self._session(force_close=False)
-        self.fresh = self._session(force_close=True)
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self.pooled.close()
-        await self.fresh.close()
-
-    def _session(self, force_close: bool) -> aiohttp.ClientSession:
-        trace = aiohttp.TraceConfig()
-        # Both signals come when a connection is available and before the first byte of
-        # the request is written to it.
-        trace.on_connection_create_end.append(_mark_sending)
-        trace.on_connection_reuseconn.append(_mark_sending)
-        return aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=self.settings.max_connections, force_close=force_close
-            ),
-            trace_configs=[trace],
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
-
-
-class _Sending:
-    """Remember whether a byte of a request can have left."""
-
-    __slots__ = ("_callback", "started")
-
-    def __init__(self, callback: Callable[[], None] | None) -> None:
-        self._callback = callback
-        self.started = False
-
-    def mark(self) -> None:
-        if not self.started:
-            self.started = True
-            if self._callback is not None:
-                self._callback()
-
-
-async def _mark_sending(
-    session: aiohttp.ClientSession, context: SimpleNamespace, params: Any
-) -> None:
-    context.trace_request_ctx.mark()
-
-
 class _Refusal(msgspec.Struct, frozen=True):
     error: str = ""
     execution: str = ""
@@ -173,7 +102,7 @@
         on_sending: Callable[[], None] | None = None,
     ) -> AsyncIterator[list[StreamEvent]]:
         """Yield batches of events; the last event is an End or Broken."""
-        sending = _Sending(on_sending)
+        sending = Sending(on_sending)
         ended = False
         session = self._sessions.fresh if new_connection else self._sessions.pooled
         try:
@@ -346,7 +275,7 @@
     async def _call(
         self, method: str, path: str, body: object, kind: type[T], timeout_s: float
     ) -> Result[T, Failure]:
-        sending = _Sending(None)
+        sending = Sending(None)
         try:
             async with self._sessions.pooled.request(
                 method,
@@ -383,7 +312,7 @@
     """Report an answer over its size bound."""
 
 
-def _refused(status: int, body: bytes, sending: _Sending) -> Broken:
+def _refused(status: int, body: bytes, sending: Sending) -> Broken:
     """Translate an answer with an error status."""
     try:
         refusal = msgspec.json.decode(body, type=_Refusal)
@@ -402,7 +331,7 @@
     return Broken(reason, Failure(kind, f"engine: {text}"), sending.started)
 
 
-def _broken(error: Exception, sending: _Sending) -> Broken:
+def _broken(error: Exception, sending: Sending) -> Broken:
     """Translate an exception; one that means a fault of this program is raised."""
     reason: BrokenReason
     match error:
--- a/packages/dandelionpond/src/dandelionpond/adapters/tests/engine_harness.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/tests/engine_harness.py
@@ -7,8 +7,9 @@
 
 import uvicorn
 
-from dandelionpond.adapters.engine import EngineSessions, HttpEngineClient
+from dandelionpond.adapters.engine import HttpEngineClient
 from dandelionpond.adapters.engine_api import EngineClient
+from dandelionpond.adapters.engine_session import EngineSessions
 from dandelionpond_standins.engine import EngineServer
 from dandelionpond_standins.engine_faults import StreamFault
 from dandelionpond_standins.engine_model import EngineModel, EngineSpec
--- a/packages/dandelionpond/src/dandelionpond/adapters/tests/test_engine.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/tests/test_engine.py
@@ -5,11 +5,7 @@
 
 import pytest
 
-from dandelionpond.adapters.engine import (
-    EngineClientSettings,
-    EngineSessions,
-    HttpEngineClient,
-)
+from dandelionpond.adapters.engine import HttpEngineClient
 from dandelionpond.adapters.engine_api import (
     Broken,
     End,
@@ -17,6 +13,7 @@
     GroupPart,
     Piece,
 )
+from dandelionpond.adapters.engine_session import EngineClientSettings, EngineSessions
 from dandelionpond.adapters.sse import EventReader
 from dandelionpond.adapters.tests.engine_harness import (
     HEAD,
