--- a/packages/dandelionpond/src/dandelionpond/memory/adoption.py
+++ b/packages/dandelionpond/src/dandelionpond/memory/adoption.py
@@ -58,8 +58,9 @@
         """Return the engines to list now.
 
         `engines` and `live_nodes` are those of this node's failure domain, and
-        `membership_at` is when a peer was last heard, in monotonic seconds. After a
-        pause nothing is scanned before membership is newer than the pause.
+        `membership_at` is when a peer was last heard, or, for a node that hears no
+        peer, now once `gone_after_s` has passed since its start or pause. After a pause
+        nothing is scanned before membership is newer than the pause.
         """
         last = self._last_tick
         # Before the first scan a node has to learn which owners live.
--- a/packages/dandelionpond/src/dandelionpond/orders/plan.py
+++ b/packages/dandelionpond/src/dandelionpond/orders/plan.py
@@ -132,8 +132,9 @@
         """Return reports to ask for and orders to send.
 
         `live_nodes` are those of this failure domain; `membership_at` is when a peer
-        was last heard. After a pause longer than `order_validity_s` nothing is sent
-        before membership and the engine's report are newer than the pause.
+        was last heard, or, for a node that hears no peer, now once `gone_after_s` has
+        passed since its start or pause. After a pause longer than `order_validity_s`
+        nothing is sent before membership and the engine's report are newer than it.
         """
         orders = self._settings.orders
         last, self._last_tick = self._last_tick, now
--- a/packages/standins/tests/test_engine_model.py
+++ b/packages/standins/tests/test_engine_model.py
@@ -2,6 +2,8 @@
 
 import random
 
+from hypothesis import given, strategies as st
+
 from dandelionpond_standins.engine_model import (
     EngineModel,
     EngineSpec,
@@ -159,6 +161,41 @@
         assert engine.kv_tokens_used == 0
 
 
+class TestRandomUse:
+    @given(st.integers(0, 10_000))
+    def test_memory_is_never_exceeded_and_returns(self, seed):
+        """Guard against accounting that drifts under any order of calls."""
+        rng = random.Random(seed)
+        spec = EngineSpec(kv_capacity_tokens=20_000, max_running=4)
+        engine = EngineModel(spec, seed)
+        now = 0.0
+        for index in range(60):
+            now += rng.choice([0.0, 0.05, 2.0])
+            name = f"h{rng.randrange(12)}"
+            blocks = tuple((rng.randrange(3), b) for b in range(rng.randrange(30)))
+            hashes = tuple(b * 10 + blocks[0][0] for _, b in blocks)
+            match rng.randrange(6):
+                case 0 | 1 | 2:
+                    tokens = 256 * len(hashes) + rng.randrange(1, 300)
+                    size = rng.randrange(1, 200)
+                    request = ask(name, tokens, prefix_hashes=hashes, max_tokens=size)
+                    engine.submit(request, now)
+                case 3:
+                    engine.reserve(name, "n/1", rng.randrange(9_000), 9.0, now)
+                case 4:
+                    block = ExportedBlock("x", "m", 256 * len(hashes), hashes)
+                    engine.import_(name, "n/1", block, 9.0, now)
+                    engine.export(f"x{index}", "n/1", "m", hashes, 9.0, now)
+                case 5:
+                    engine.cancel(name, now)
+            assert 0 <= engine.kv_tokens_used <= spec.kv_capacity_tokens
+        for holding in engine.holdings(now):
+            engine.cancel(holding.holding_id, now)
+        assert engine.kv_tokens_used == 0
+        report = engine.load(now + 100.0)
+        assert report.queued_prefill_tokens == report.waiting_requests == 0
+
+
 class TestReports:
     def test_load_lags(self):
         """Guard against a report that is fresher than a real engine's."""
