Give each part of a group room for the whole answer

A part of (prompt + answer) / parts tokens was too small for the leading engine, which holds its part of the prompt and all of the answer. The contract now also covers an engine that is slower by a factor of 100.

--- a/packages/dandelionpond/src/dandelionpond/adapters/tests/engine_harness.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/tests/engine_harness.py
@@ -24,6 +24,7 @@
 
     def __init__(self, spec: EngineSpec | None = None, enforced: bool = True):
         model = EngineModel(spec or EngineSpec(), 1)
+        self._model = model
         orders = OrderState({"m": "v1"}, enforced=enforced, load_s=0.0)
         self.server = EngineServer("e", model, orders, speed=200.0)
 
@@ -45,6 +46,10 @@
         self._uvicorn.should_exit = self._uvicorn.force_exit = True
         await self._task
 
+    def slow(self, factor):
+        """Make every step of the engine take longer by a factor."""
+        self._model.slow_factor = factor
+
     def disturb(self, kind, after_tokens=2):
         """Disturb the next stream."""
         self.server.faults.stream = StreamFault(kind, after_tokens)
--- a/packages/dandelionpond/src/dandelionpond/adapters/tests/test_engine.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/tests/test_engine.py
@@ -193,6 +193,18 @@
 
         asyncio.run(run())
 
+    def test_slow_engine_still_gives_the_whole_answer(self, harness):
+        """Guard against a slow answer that is taken for a broken one."""
+
+        async def run():
+            async with harness() as engine:
+                engine.slow(100.0)
+                events = await collect(engine.client, ask())
+                assert events[-1] == End("r", 8)
+                assert text_of(events) == expected_text("m", "v1", "hello", 8)
+
+        asyncio.run(run())
+
     def test_refusals_say_whether_the_request_ran(self, harness):
         """Guard against a refusal that is retried although it may have run."""
 
--- a/packages/dandelionpond/src/dandelionpond/memory/groups.py
+++ b/packages/dandelionpond/src/dandelionpond/memory/groups.py
@@ -39,16 +39,20 @@
 
 
 def split(
-    tokens: int, free_tokens: Mapping[str, int], settings: MemorySettings
+    prompt_tokens: int,
+    max_tokens: int,
+    free_tokens: Mapping[str, int],
+    settings: MemorySettings,
 ) -> tuple[Part, ...] | None:
     """Split a prompt into equal parts on the fewest engines with enough memory.
 
-    `tokens` covers prompt and answer. At least `min_group_engines` are used, and the
-    engines with most free memory first. None means that the memory is not there.
+    Each part has room for the whole answer of `max_tokens`, because any of the engines
+    may lead. At least `min_group_engines` are used, and the engines with most free
+    memory first. None means that the memory is not there.
     """
     by_room = sorted(free_tokens, key=lambda name: (-free_tokens[name], name))
     for count in range(settings.min_group_engines, len(by_room) + 1):
-        size = -(-tokens // count)
+        size = -(-prompt_tokens // count) + max_tokens
         if free_tokens[by_room[count - 1]] >= size:
             return tuple(Part(name, size) for name in sorted(by_room[:count]))
     return None
--- a/packages/dandelionpond/src/dandelionpond/memory/tests/test_groups.py
+++ b/packages/dandelionpond/src/dandelionpond/memory/tests/test_groups.py
@@ -36,13 +36,14 @@
 class TestSplit:
     def test_parts_fit_and_there_are_at_least_three(self):
         """Guard against a part that is larger than the memory it goes to."""
-        assert split(900, {"a": 400, "b": 400, "c": 300, "d": 10}, SETTINGS) == (
-            Part("a", 300),
-            Part("b", 300),
-            Part("c", 300),
+        free = {"a": 400, "b": 400, "c": 310, "d": 10}
+        assert split(900, 10, free, SETTINGS) == (
+            Part("a", 310),
+            Part("b", 310),
+            Part("c", 310),
         )
-        assert split(100, {"a": 400, "b": 400}, SETTINGS) is None
-        assert split(900, {"a": 400, "b": 400, "c": 200, "d": 100}, SETTINGS) is None
+        assert split(900, 11, free, SETTINGS) is None
+        assert split(100, 1, {"a": 400, "b": 400}, SETTINGS) is None
 
 
 class TestGroupPlan:
