--- a/packages/dandelionpond/src/dandelionpond/adapters/tests/engine_harness.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/tests/engine_harness.py
@@ -7,8 +7,9 @@
 
 import uvicorn
 
-from dandelionpond.adapters.engine import EngineSessions, HttpEngineClient
+from dandelionpond.adapters.engine import HttpEngineClient
 from dandelionpond.adapters.engine_api import EngineClient
+from dandelionpond.adapters.engine_session import EngineSessions
 from dandelionpond_standins.engine import EngineServer
 from dandelionpond_standins.engine_faults import StreamFault
 from dandelionpond_standins.engine_model import EngineModel, EngineSpec
@@ -23,6 +24,7 @@
 
     def __init__(self, spec: EngineSpec | None = None, enforced: bool = True):
         model = EngineModel(spec or EngineSpec(), 1)
+        self._model = model
         orders = OrderState({"m": "v1"}, enforced=enforced, load_s=0.0)
         self.server = EngineServer("e", model, orders, speed=200.0)
 
@@ -44,6 +46,10 @@
         self._uvicorn.should_exit = self._uvicorn.force_exit = True
         await self._task
 
+    def slow(self, factor):
+        """Make every step of the engine take longer by a factor."""
+        self._model.slow_factor = factor
+
     def disturb(self, kind, after_tokens=2):
         """Disturb the next stream."""
         self.server.faults.stream = StreamFault(kind, after_tokens)
