Wire membership freshness, reconciliation and the veto on sending

Cause: the slices changed while the node was assembled: freshness has a time, a call vetoes a late first byte, and an adopter reconciles its own late holdings. A dump of state failed with an error because it held a method. Ruled out: nothing else was found; the stack test now reads each dump. Conclusion: the edges follow the slices.

--- a/packages/dandelionpond/src/dandelionpond/runtime/calls.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/calls.py
@@ -19,28 +19,23 @@
 from dandelionpond.peer.client import PeerClient
 from dandelionpond.peer.messages import CallOutcome, ForwardedCall
 from dandelionpond.requests.budget import RetryBudgets
-from dandelionpond.requests.call import Call
+from dandelionpond.requests.call import Call, ended
 from dandelionpond.requests.messages import (
     AnswerCall,
-    Answered,
-    BytesSent,
     CallAction,
     CallEvent,
     CancelCall,
     ConnectFailed,
     FailCall,
     Forward,
-    Invalid,
     Outcome,
     Recorded,
     Refuse,
-    Reset,
     RunPlain,
     RunTicket,
     SendCall,
     Started,
     Tick,
-    TooLarge,
 )
 from dandelionpond.requests.ticket import Ticket
 from dandelionpond.requests.ticket_book import TicketBook, while_key_unknown
@@ -371,10 +366,7 @@
         def may_send() -> bool:
             # Compared with the clock and not only by a timer: after a pause of this
             # process the timers fire late.
-            if self._core.now() >= action.send_before or self._call.result is not None:
-                return False
-            self._handle(BytesSent(attempt))
-            return True
+            return self._call.may_send(attempt, self._core.now())
 
         result = await self._client.call(
             ServiceRequest(
@@ -389,26 +381,7 @@
             ),
             may_send,
         )
-        if result.is_ok():
-            event: CallEvent = Answered(attempt, action.request_id, result.ok)
-        else:
-            event = _event(attempt, action.request_id, result.error)
-        self._queue.put_nowait(event)
-
-
-def _event(attempt: int, request_id: str, failure: Failure) -> CallEvent:
-    match failure.kind:
-        case ErrorKind.UPSTREAM_UNREACHABLE:
-            return ConnectFailed(attempt)
-        case ErrorKind.UPSTREAM_REFUSED:
-            return Answered(attempt, request_id, Outcome(503, b""), says_not_run=True)
-        case ErrorKind.UPSTREAM_INVALID:
-            return Invalid(attempt)
-        case ErrorKind.ANSWER_TOO_LARGE:
-            return TooLarge(attempt)
-        case ErrorKind.DEADLINE_AFTER_SEND | ErrorKind.DEADLINE_BEFORE_SEND:
-            return Tick()
-    return Reset(attempt)
+        self._queue.put_nowait(ended(attempt, action.request_id, result))
 
 
 def _refusal(key: str | None, failure: Failure) -> Failure:
--- a/packages/dandelionpond/src/dandelionpond/runtime/gossip.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/gossip.py
@@ -33,6 +33,8 @@
 
 TICK_S = 0.05
 UPSTREAM_TICK_S = 1.0
+# Time between two ticks after which this process counts as paused.
+PAUSE_S = 3.0
 
 
 class SettingsEvents(Protocol):
@@ -64,6 +66,9 @@
         self._demands: dict[str, tuple[float, tuple[Demand, ...]]] = {}
         # When a peer's message last arrived, in monotonic seconds.
         self.heard_at = float("-inf")
+        # When this node started or woke from a pause, in monotonic seconds.
+        self._alone_since = core.now()
+        self._ticked_at = core.now()
         self.settings_events: SettingsEvents | None = None
         self.listeners: list[UpstreamListener] = []
         self.membership = Membership(
@@ -99,6 +104,23 @@
             return peer.address
         return self._addresses.get(name)
 
+    def usable_view(self) -> tuple[float, list[str]] | None:
+        """Return when membership was last confirmed and the domain's live nodes.
+
+        None means that the view may be old: this node has just started or was paused.
+        A node that hears nobody for `gone_after_s` is alone on its side of a partition
+        and goes on as such.
+        """
+        now = self._core.now()
+        local = self._core.local
+        nodes = [*self.membership.names(local.failure_domain), local.name]
+        if self.membership.has_first_pass and self.membership.is_fresh(now):
+            return self.heard_at, nodes
+        quiet_s = self._core.settings.membership.gone_after_s
+        if now - max(self._alone_since, self.heard_at) >= quiet_s:
+            return now, nodes
+        return None
+
     def announce(self, revision: int, digest: str) -> None:
         """Tell peers of a new settings revision at once."""
         self.membership.settings_changed(revision, digest, self._core.now())
@@ -160,6 +182,9 @@
 
     async def _tick(self) -> None:
         now = self._core.now()
+        if now - self._ticked_at > PAUSE_S:
+            self._alone_since = now
+        self._ticked_at = now
         for demand in self._accounts.due_demands():
             address = self.address_of(demand.to)
             if address is not None:
--- a/packages/dandelionpond/src/dandelionpond/runtime/leases.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/leases.py
@@ -105,18 +105,17 @@
         now = self._core.now()
         self._send_due(now)
         self._perform_group(self.groups.tick(now))
-        local = self._core.local
-        domain = local.failure_domain
+        domain = self._core.local.failure_domain
         engines = [
             name
             for name, upstream in self._core.settings.upstreams.items()
             if upstream.failure_domain == domain and self._client_of(name) is not None
         ]
-        membership = self._gossip.membership
-        if not membership.has_first_pass or not membership.is_fresh:
+        view = self._gossip.usable_view()
+        if view is None:
             return
-        nodes = [*membership.names(domain), local.name]
-        for scan in self.adoption.tick(engines, nodes, self._gossip.heard_at, now):
+        heard_at, nodes = view
+        for scan in self.adoption.tick(engines, nodes, heard_at, now):
             self._core.tasks.spawn(self._scan(scan), "scan-engine")
 
     def _send_due(self, now: float) -> None:
@@ -170,6 +169,7 @@
             return
         holdings: list[Holding] = result.ok
         now = self._core.now()
+        self.book.reconcile(scan.engine, holdings, now)
         releases = self.adoption.scanned(
             scan, holdings, self._live_owners(), asked_at, now
         )
--- a/packages/dandelionpond/src/dandelionpond/runtime/orders.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/orders.py
@@ -40,12 +40,11 @@
         self.plan.configure(self._core.keeper.revision, settings, now)
 
     async def _tick(self) -> None:
-        membership = self._gossip.membership
-        if not membership.has_first_pass or not membership.is_fresh:
+        view = self._gossip.usable_view()
+        if view is None:
             return
-        local = self._core.local
-        nodes = [*membership.names(local.failure_domain), local.name]
-        actions = self.plan.tick(nodes, self._gossip.heard_at, self._core.now())
+        heard_at, nodes = view
+        actions = self.plan.tick(nodes, heard_at, self._core.now())
         for action in actions:
             match action:
                 case AskReport(engine):
--- a/packages/dandelionpond/src/dandelionpond/runtime/state.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/state.py
@@ -69,7 +69,7 @@
                 "readers": node.distribution.distribution.readers,
             },
             "membership": {
-                "is_fresh": node.gossip.membership.is_fresh,
+                "is_fresh": node.gossip.membership.is_fresh(now),
                 "peers": [
                     {
                         "name": peer.name,
--- a/packages/standins/tests/test_stack.py
+++ b/packages/standins/tests/test_stack.py
@@ -46,13 +46,18 @@
                 headers = {"Authorization": "Bearer demo-operator"}
                 async with stack.session.get(url, headers=headers) as response:
                     lines += (await response.read()).splitlines()
-            return results, calls, counts, lines
+            dumps = [await stack.operate(name, "/v1/dump") for name in stack.nodes]
+            return results, calls, counts, lines, dumps
 
-        results, calls, counts, lines = run_stack(tmp_path, scenario)
+        results, calls, counts, lines, dumps = run_stack(tmp_path, scenario)
         assert [result.verdict for result in results] == [Verdict.COMPLETE] * 4
         assert [call.status for call in calls] == [200, 200, 200]
         assert len({call.body for call in calls}) == 1
         assert counts == {'{"n":1}': 1}
+        for dump in dumps:
+            assert dump["status"]["settings_revision"] >= 1
+            assert dump["counters"]["tasks"]["failed"] == 0
+            assert dump["memory"]["groups"] == 0
         assert len(lines) >= 3
         assert {json.loads(line)["decision"] for line in lines} >= {"choose"}
 
