Keep a leaving upstream out of use while the platform's list lags

Each change of another VM makes a newer list that may still show the upstream running; such a list ended leaving. Now a list must have left it out, shown it leaving, or show another address.

--- a/packages/dandelionpond/src/dandelionpond/membership/tests/test_upstreams.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/tests/test_upstreams.py
@@ -64,6 +64,30 @@
         upstreams.answered("u1", False, 5.0)
         assert upstreams.state_of("u1") is UpstreamState.LIVE
 
+    def test_lagging_newer_list_does_not_end_leaving(self):
+        """Guard against new work for a leaving upstream that the list shows running."""
+        upstreams = view()
+        upstreams.platform_list(listing(5, "running"), 0.0)
+        upstreams.answered("u1", True, 1.0)
+        upstreams.platform_list(listing(6, "running"), 2.0)
+        assert upstreams.state_of("u1") is UpstreamState.LEAVING
+        upstreams.platform_list(PlatformList(7, ()), 3.0)
+        upstreams.platform_list(listing(8, "running"), 4.0)
+        assert upstreams.state_of("u1") is UpstreamState.LIVE
+
+    def test_new_address_is_a_new_registration(self):
+        """Guard against a replaced upstream that stays out of use."""
+        upstreams = view()
+        upstreams.platform_list(listing(5, "running"), 0.0)
+        upstreams.answered("u1", True, 1.0)
+        moved = Vm("u1", "engine", "u1:2", "d1", "running")
+        upstreams.platform_list(PlatformList(6, (moved,)), 2.0)
+        assert upstreams.state_of("u1") is UpstreamState.LIVE
+        upstreams.platform_list(listing(7, "running"), 3.0)
+        upstreams.answered("u1", True, 4.0)
+        upstreams.platform_list(listing(8, "running"), 5.0)
+        assert upstreams.state_of("u1") is UpstreamState.LEAVING
+
     def test_second_stop_is_heard_by_nodes_that_saw_a_later_list(self):
         """Guard against a rumor refused because another list revealed the return."""
         one, two = view(name="a"), view(name="b")
--- a/packages/dandelionpond/src/dandelionpond/membership/upstreams.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/upstreams.py
@@ -23,6 +23,7 @@
 
 class _Upstream:
     __slots__ = (
+        "address",
         "domain",
         "is_gone",
         "is_leaving",
@@ -30,6 +31,7 @@
         "reports",
         "state",
         "version",
+        "was_away",
     )
 
     def __init__(self, domain: str, version: int) -> None:
@@ -41,6 +43,13 @@
         # Reporter to (failure domain of the reporter, time of the report).
         self.reports: dict[str, tuple[str, float]] = {}
         self.state = UpstreamState.LIVE
+        self.address = ""
+        # A list has shown the upstream absent or leaving since it was last live.
+        self.was_away = False
+
+    @property
+    def is_away(self) -> bool:
+        return self.is_leaving or self.is_gone
 
 
 class UpstreamView:
@@ -129,27 +138,34 @@
     def platform_list(self, vms: PlatformList, now: float) -> list[UpstreamAction]:
         """Take in the platform's list; entries with the role `node` are ignored.
 
-        A listed live upstream returns from leaving or gone only with a list revision
-        that is newer than its version, and only if an earlier list showed it away: the
-        list lags behind, so a rumor of leaving outweighs it until then.
+        An upstream returns from leaving or gone only with a newer revision that follows
+        one without it or with it leaving, or that lists another address. The list lags,
+        so a newer one that has always shown the upstream running proves nothing.
         """
         actions: list[UpstreamAction] = []
         if vms.revision <= self._platform_revision:
             self.counts["stale_lists"] += vms.revision < self._platform_revision
             return actions
         self._platform_revision = vms.revision
+        listed = {vm.name for vm in vms.vms}
+        for name, held in self._upstreams.items():
+            held.was_away |= held.is_away and name not in listed
         for vm in vms.vms:
             entry = self._upstreams.get(vm.name)
             if entry is None:
                 continue
             version = vms.revision * _RETURNS
+            is_moved = bool(entry.address) and vm.address != entry.address
+            entry.address = vm.address
+            entry.was_away |= entry.is_away and is_moved
             if vm.state == "leaving":
                 if not entry.is_leaving:
                     self._leave(vm.name, entry, actions)
+                entry.was_away = True
             elif vm.state == "gone":
-                entry.is_gone = True
+                entry.is_gone = entry.was_away = True
                 self._decide(vm.name, entry, actions)
-            elif (entry.is_leaving or entry.is_gone) and version > entry.version:
+            elif entry.is_away and entry.was_away and version > entry.version:
                 self._return(vm.name, entry, version, actions)
         return actions
 
@@ -165,7 +181,7 @@
             if not entry.is_leaving:
                 self._leave(upstream, entry, actions)
             return actions
-        if entry.is_leaving or entry.is_gone:
+        if entry.is_away:
             self._return(upstream, entry, entry.version + 1, actions)
         if upstream in self._reported:
             actions += self.trusted(upstream, now)
@@ -206,8 +222,7 @@
         if rumor.heartbeat < entry.version:
             self.counts["old_rumors"] += 1
             return actions
-        is_away = entry.is_leaving or entry.is_gone
-        if rumor.heartbeat > entry.version and not is_away:
+        if rumor.heartbeat > entry.version and not entry.is_away:
             # Another node saw the latest return first; equal versions let its later
             # rumors and those of this node replace each other.
             entry.version = rumor.heartbeat
@@ -280,7 +295,7 @@
         self, name: str, entry: _Upstream, version: int, actions: list[UpstreamAction]
     ) -> None:
         entry.version = version
-        entry.is_leaving = entry.is_gone = False
+        entry.is_leaving = entry.is_gone = entry.was_away = False
         entry.reports.clear()
         self._withdraw(name, entry)
         self._decide(name, entry, actions)
