--- a/packages/dandelionpond/src/dandelionpond/membership/peers.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/peers.py
@@ -48,7 +48,6 @@
         "_platform_revision",
         "_queue",
         "_random",
-        "_resumed_at",
         "_sent_at",
         "_settings",
         "_settings_version",
@@ -77,7 +76,6 @@
         self._last_tick = now
         self._next_beat = now
         self._pace = RelayPace(settings, random, now)
-        self._resumed_at = now
         self._sent_at: dict[str, float] = {}
         self._suspects: dict[str, Peer] = {}
         self._watched: dict[str, Peer] = {}
@@ -188,7 +186,7 @@
         self._about_peer(own, now, actions)
         if is_reply:
             sent_at = self._sent_at.pop(sender.name, None)
-            if sent_at is not None and sent_at >= self._resumed_at:
+            if sent_at is not None:
                 self._exchanges += 1
                 self._is_fresh = True
             peer = self._watched.pop(sender.name, None)
@@ -217,7 +215,7 @@
         sent_at = self._sent_at.pop(peer, None)
         known = self._table.get(peer)
         # The deadline of a call from before a pause says nothing about the peer.
-        if known is None or sent_at is None or sent_at < self._resumed_at:
+        if known is None or sent_at is None:
             return actions
         if known.failing_since is None:
             known.failing_since = now
@@ -273,8 +271,9 @@
         if now - self._last_tick <= self._pause_limit:
             return
         self.counts["pauses"] += 1
-        self._last_tick = self._resumed_at = now
+        self._last_tick = now
         self._is_fresh = False
+        # Replies and failures of these calls say nothing about the present.
         self._sent_at.clear()
         # Refutations may have been missed, so each suspicion runs its full time again.
         for peer in self._suspects.values():
--- a/packages/dandelionpond/src/dandelionpond/membership/tests/test_peers.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/tests/test_peers.py
@@ -122,6 +122,16 @@
         known = [(r.subject, r.state, r.heartbeat) for r in answers if not r.origin]
         assert ("b", "live", EPOCH + 5) in known
 
+    def test_leaving_ends_a_suspicion(self):
+        """Guard against a planned stop that peers take for a crash."""
+        leaver, other = node("b", ("a",)), node("a", ("b",))
+        other.received(leaver.reply_to(hello("a")), 0.5)
+        suspicion = about("b", "suspect", heartbeat=1, nonce=1)
+        other.received(hello("c", rumors=(suspicion,)), 1.0)
+        assert other.state_of("b") is PeerState.SUSPECT
+        other.received(leaver.leaving()[0].message, 1.5)
+        assert other.state_of("b") is PeerState.LEAVING
+
     def test_leaving_wins_over_earlier_messages(self):
         """Guard against a late message that hides a planned stop."""
         leaver, other = node("b", ("a",)), node("a", ("b",))
@@ -180,6 +190,16 @@
         assert membership.state_of("x") is None
         assert set(membership.names()) == {"b", "c", "d"}
 
+    def test_unheard_peer_is_not_gone_before_the_first_pass(self):
+        """Guard against a starting node, itself cut off, that declares all gone."""
+        membership, now = node(), 0.0
+        for _ in range(60):
+            now += 1.1
+            for action in membership.tick(now):
+                membership.exchange_failed(action.peer, now)
+        assert set(membership.names()) == {"b", "c", "d"}
+        assert membership.state_of("b") is PeerState.SUSPECT
+
     def test_heartbeats_outweigh_a_lagging_list(self):
         """Guard against a list that lags and removes a running node."""
         membership = node()
--- a/packages/dandelionpond/src/dandelionpond/membership/tests/test_upstreams.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/tests/test_upstreams.py
@@ -75,6 +75,17 @@
         upstreams.platform_list(listing(8, "running"), 4.0)
         assert upstreams.state_of("u1") is UpstreamState.LIVE
 
+    def test_list_older_than_the_known_return_is_ignored(self):
+        """Guard against a node whose list lags behind the registration it heard of."""
+        upstreams = view()
+        upstreams.platform_list(listing(5, "running"), 0.0)
+        upstreams.heard(report("b", "leaving", version=9 << 16), 1.0)
+        upstreams.platform_list(listing(6, "leaving"), 2.0)
+        upstreams.platform_list(listing(7, "running"), 3.0)
+        assert upstreams.state_of("u1") is UpstreamState.LEAVING
+        upstreams.platform_list(listing(10, "running"), 4.0)
+        assert upstreams.state_of("u1") is UpstreamState.LIVE
+
     def test_new_address_is_a_new_registration(self):
         """Guard against a replaced upstream that stays out of use."""
         upstreams = view()
@@ -115,6 +126,14 @@
         assert one.state_of("u1") is UpstreamState.SUSPECT
         assert two.state_of("u1") is UpstreamState.LIVE
 
+    def test_echo_of_a_withdrawn_suspicion_is_ignored(self):
+        """Guard against an own rumor that comes back and takes out an upstream."""
+        upstreams = view()
+        upstreams.suspected("u1", 0.0)
+        upstreams.trusted("u1", 1.0)
+        upstreams.heard(report("a"), 2.0)
+        assert upstreams.state_of("u1") is UpstreamState.LIVE
+
     def test_quorum_of_distinct_reporters_ejects_until_reports_expire(self):
         """Guard against repeats that count twice and against lasting ejection."""
         upstreams = view()
--- a/packages/dandelionpond/src/dandelionpond/shutdown/tests/test_drain.py
+++ b/packages/dandelionpond/src/dandelionpond/shutdown/tests/test_drain.py
@@ -83,3 +83,11 @@
         for now in range(6, 16):
             assert drain.decide(parked, float(now)) == []
         assert drain.decide(parked, 16.0) == [HandOver(4), Stop(0)]
+
+    def test_releases_get_a_try_after_a_pause(self):
+        """Guard against releases given up for the time that the process slept."""
+        drain = draining()
+        parked = Tick(Load(pending_releases=4))
+        drain.decide(parked, 6.0)
+        assert drain.decide(parked, 600.0) == []
+        assert drain.decide(IDLE, 601.0) == [Stop(0)]
