Add the comparison of policies on modelled engines

The engine model reports queued prefill by priority, and a request that takes over a reservation passes the engine's queue, so that the released memory cannot go to another request.

--- a/packages/dandelionpond/src/dandelionpond/limits/admission.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/admission.py
@@ -8,6 +8,7 @@
 from dandelionpond.limits.settings import LimitsSettings
 
 _LEARNING_RATE = 0.05
+_AGEING_SHARE = 0.1
 
 
 class Admission:
@@ -70,8 +71,15 @@
         self._settings = settings
         self.held_back = 0
 
-    def is_open(self, queue_tokens: float, prefill_tokens_per_s: float) -> bool:
-        """Return whether one more request may be sent to an engine."""
-        is_open = queue_tokens <= self._settings.engine_queue_s * prefill_tokens_per_s
+    def is_open(
+        self, queue_tokens: float, prefill_tokens_per_s: float, waited_s: float = 0.0
+    ) -> bool:
+        """Return whether one more request may be sent to an engine.
+
+        The window grows by a tenth of the time the request has waited, so that a
+        request for which no engine is ever idle comes to its turn.
+        """
+        window_s = self._settings.engine_queue_s + _AGEING_SHARE * waited_s
+        is_open = queue_tokens <= window_s * prefill_tokens_per_s
         self.held_back += not is_open
         return is_open
--- a/packages/dandelionpond/src/dandelionpond/limits/queue.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/queue.py
@@ -99,11 +99,17 @@
         entry = self._accounts.get(account)
         return entry.size if entry else 0
 
-    def tokens_before(self, account: str, weight: float, tokens: float) -> float:
-        """Return a bound on the tokens served before a new request of an account."""
+    def tokens_before(
+        self, account: str, weight: float, tokens: float, now: float
+    ) -> float:
+        """Return the tokens served before a new request if nothing else arrives."""
         entry = self._accounts.get(account)
-        own = (
-            sum(item.tokens for lane in entry.lanes for item in lane) if entry else 0.0
+        rank = self._rank(tokens, now)
+        own = sum(
+            item.tokens
+            for lane in (entry.lanes if entry else ())
+            for item in lane
+            if self._rank(item.tokens, item.enqueued_at) <= rank
         )
         start = max(self._virtual, entry.start) if entry else self._virtual
         finish = start + (own + tokens) / weight
@@ -150,7 +156,7 @@
             if entry.size == 0:
                 continue
             ranked = sorted(
-                (self._rank(lane[0]), index)
+                (self._rank(lane[0].tokens, lane[0].enqueued_at), index)
                 for index, lane in enumerate(entry.lanes)
                 if lane
             )
@@ -208,10 +214,11 @@
             return 0
         return 2 if tokens > self._policy.long_prompt_tokens else 1
 
-    def _rank(self, item: Queued) -> float:
-        length = min(1.0, item.tokens / self._policy.long_prompt_tokens)
-        delay = self._policy.short_weight * self._settings.ageing_s * length
-        return item.enqueued_at + delay
+    def _rank(self, tokens: float, enqueued_at: float) -> float:
+        length = min(1.0, tokens / self._policy.long_prompt_tokens)
+        return (
+            enqueued_at + self._policy.short_weight * self._settings.ageing_s * length
+        )
 
     def _drop(self, account: str, item: Queued) -> None:
         entry = self._accounts[account]
--- a/packages/dandelionpond/src/dandelionpond/limits/tests/test_queue.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/tests/test_queue.py
@@ -87,7 +87,7 @@
         made = queue()
         for index in range(20):
             made.offer(item(f"b{index}", "b", 3_000.0), 1.0, 0.0)
-        bound = made.tokens_before("a", 1.0, 9_000.0)
+        bound = made.tokens_before("a", 1.0, 9_000.0, 0.0)
         made.offer(item("mine", "a", 9_000.0), 1.0, 0.0)
         order = drain(made)
         place = [one.request_id for one in order].index("mine")
--- a/packages/dandelionpond/src/dandelionpond/routing/choice.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/choice.py
@@ -57,6 +57,7 @@
     `free_tokens` is engine memory left for this request's length class.
     `cached_tokens` is the part of the prompt in the engine's cache, weighted by the
     certainty of that knowledge. `correction` scales the estimate by what was observed.
+    `delay_s` is the time that a step shared with less urgent work takes longer.
     `start_share` grows from 0 to 1 during slow start. `window_open` is false when the
     node's concurrency limit toward the engine is reached.
     """
@@ -68,6 +69,7 @@
     prefill_tokens_per_s: float
     cached_tokens: float = 0.0
     correction: float = 1.0
+    delay_s: float = 0.0
     report_age_s: float = 0.0
     start_share: float = 1.0
     state: State = "live"
@@ -98,7 +100,8 @@
     """Return the estimated time to first token in seconds."""
     uncached = max(1.0, request.prompt_tokens - candidate.cached_tokens)
     tokens = candidate.queue_tokens + uncached
-    return tokens / candidate.prefill_tokens_per_s * candidate.correction
+    work_s = tokens / candidate.prefill_tokens_per_s * candidate.correction
+    return work_s + candidate.delay_s
 
 
 def length_class(
--- a/packages/dandelionpond/src/dandelionpond/routing/load.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/load.py
@@ -159,6 +159,11 @@
             )
         return ratio
 
+    def was_idle(self, request_id: str) -> bool:
+        """Return whether the engine seemed idle when the request was sent."""
+        send = self._sends.get(request_id)
+        return send is not None and send.alone
+
     def finished(self, request_id: str, now: float) -> None:
         """Record the end of a request; its memory counts as free from now on."""
         send = self._sends.pop(request_id, None)
@@ -191,27 +196,40 @@
         )
 
     def queue_tokens(self, engine_name: str, priority: int, now: float) -> float:
-        """Return the uncached prefill served before a new request, in tokens.
+        """Return the uncached prefill served before a new request, in tokens."""
+        return self.queue_split(engine_name, priority, now)[0]
+
+    def queue_split(
+        self, engine_name: str, priority: int, now: float
+    ) -> tuple[float, float]:
+        """Return the prefill served before a new request and after it, in tokens.
 
         Work with the same or a smaller priority number comes first. The reported
-        part drains with the prefill rate; own sends that the report cannot show are
-        added until their first token.
+        part drains with the prefill rate, the most urgent work first; own sends that
+        the report cannot show are added until their first token.
         """
         engine = self._engines[engine_name]
-        reported = 0.0
+        before = after = 0.0
         if engine.report is not None:
-            queued = engine.report.queued_tokens
-            ahead = sum(tokens for level, tokens in queued.items() if level <= priority)
+            for level, tokens in engine.report.queued_tokens.items():
+                if level <= priority:
+                    before += tokens
+                else:
+                    after += tokens
             drained = self.prefill_rate(engine_name) * max(0.0, now - engine.at)
-            reported = max(0.0, ahead - drained)
-        since = sum(
-            send.uncached
-            for send in engine.sends.values()
-            if send.at > engine.at
-            and send.first_token_at is None
-            and send.priority <= priority
-        )
-        return reported + since
+            after = max(0.0, after - max(0.0, drained - before))
+            before = max(0.0, before - drained)
+        for send in engine.sends.values():
+            if send.at > engine.at and send.first_token_at is None:
+                if send.priority <= priority:
+                    before += send.uncached
+                else:
+                    after += send.uncached
+        return before, after
+
+    def traits(self, engine_name: str) -> EngineTraits:
+        """Return the memory and the rates that the settings state."""
+        return self._engines[engine_name].traits
 
     def free_tokens(self, engine_name: str, now: float) -> float:
         """Return the engine memory that is free by estimate, in tokens.
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/routing/router.py
@@ -0,0 +1,204 @@
+"""Assemble what a node knows into the recorded input of a choice."""
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from dandelionpond.routing.choice import (
+    Candidate,
+    RouteChoice,
+    RouteRequest,
+    State,
+    choose,
+    choose_group,
+    length_class,
+)
+from dandelionpond.routing.load import EngineTraits, LoadBook, LoadReport
+from dandelionpond.routing.outliers import Ejected, Outliers, Returned
+from dandelionpond.routing.prefixes import CacheEvent, PrefixMap
+from dandelionpond.routing.separation import Separation, priority
+from dandelionpond.routing.settings import RoutingSettings
+
+
+class RouteInput(msgspec.Struct, frozen=True):
+    """Hold the input of one choice, as it is recorded."""
+
+    request: RouteRequest
+    candidates: tuple[Candidate, ...]
+    policy: RoutingSettings
+    seed: int
+
+
+class Router:
+    """Own the books of the routing slice for one node.
+
+    `is_open(queue_tokens, prefill_tokens_per_s, waited_s)` is the node's limit toward
+    an engine; `random_source` draws the seed of each choice.
+    """
+
+    __slots__ = (
+        "_is_open",
+        "_policy",
+        "_random",
+        "_states",
+        "loads",
+        "outliers",
+        "prefixes",
+        "separation",
+    )
+
+    def __init__(
+        self,
+        policy: RoutingSettings,
+        random_source: random.Random,
+        is_open: Callable[[float, float, float], bool],
+    ) -> None:
+        self._policy = policy
+        self._random = random_source
+        self._is_open = is_open
+        self._states: dict[str, State] = {}
+        self.loads = LoadBook(policy)
+        self.outliers = Outliers(policy)
+        self.prefixes = PrefixMap(policy)
+        self.separation = Separation(policy)
+
+    def set_reach(self, traits: dict[str, EngineTraits]) -> None:
+        """Replace the engines in reach."""
+        for name in self.loads.engines:
+            if name not in traits:
+                self.prefixes.forget(name)
+        self.loads.set_reach(traits)
+        self.outliers.set_reach(self.loads.engines)
+
+    def set_states(self, states: dict[str, State]) -> None:
+        """Replace the membership states of engines; missing ones are live."""
+        self._states = dict(states)
+
+    def report(self, report: LoadReport, now: float) -> None:
+        """Accept a load report."""
+        self.loads.report(report, now)
+
+    def cache_event(self, event: CacheEvent) -> None:
+        """Accept a cache event."""
+        self.prefixes.apply(event)
+
+    def request(
+        self, request_id: str, prompt_tokens: int, max_tokens: int, remaining_s: float
+    ) -> RouteRequest:
+        """Return the request with its priority by length and time left."""
+        names = self.loads.engines
+        rate = max((self.loads.prefill_rate(name) for name in names), default=1.0)
+        level = priority(prompt_tokens, remaining_s, prompt_tokens / rate, self._policy)
+        return RouteRequest(request_id, prompt_tokens, max_tokens, remaining_s, level)
+
+    def route(
+        self,
+        request: RouteRequest,
+        hashes: tuple[int, ...],
+        now: float,
+        waited_s: float = 0.0,
+    ) -> tuple[RouteChoice, RouteInput]:
+        """Choose an engine; return the outcome with the input to record."""
+        candidates = self.candidates(request, hashes, now, waited_s)
+        seed = self._random.getrandbits(32)
+        choice = choose(request, candidates, self._policy, seed)
+        return choice, RouteInput(request, candidates, self._policy, seed)
+
+    def route_group(
+        self, request: RouteRequest, now: float, min_engines: int
+    ) -> tuple[str, ...]:
+        """Choose the engines for a prompt beyond one engine, in name order."""
+        candidates = self.candidates(request, (), now, 0.0)
+        return choose_group(request, candidates, min_engines)
+
+    def candidates(
+        self,
+        request: RouteRequest,
+        hashes: tuple[int, ...],
+        now: float,
+        waited_s: float,
+    ) -> tuple[Candidate, ...]:
+        """Return the engines in reach as they look to this request."""
+        loads = self.loads
+        cached = self.prefixes.cached_tokens(hashes) if hashes else {}
+        ejected = self.outliers.ejected
+        roles = self.separation.roles(loads.engines)
+        is_long = length_class(request.prompt_tokens, self._policy) == "long"
+        result = []
+        for name in loads.engines:
+            traits = loads.traits(name)
+            rate = loads.prefill_rate(name)
+            queue, later = loads.queue_split(name, request.priority, now)
+            free = loads.free_tokens(name, now)
+            if is_long:
+                bound = self.separation.long_memory_tokens(
+                    traits.kv_capacity_tokens, roles[name]
+                )
+                free = min(free, bound - loads.long_tokens(name))
+            state = self._states.get(name, "live")
+            if state in ("live", "suspect") and name in ejected:
+                state = "ejected"
+            result.append(
+                Candidate(
+                    name,
+                    queue,
+                    free,
+                    traits.kv_capacity_tokens,
+                    rate,
+                    min(cached.get(name, 0.0), request.prompt_tokens - 1.0),
+                    loads.correction(name),
+                    self._policy.step_tokens / rate if later > 0 else 0.0,
+                    loads.age_s(name, now),
+                    self.outliers.start_share(name, now),
+                    state,
+                    roles[name],
+                    self._is_open(queue, rate, waited_s),
+                )
+            )
+        return tuple(result)
+
+    def sent(
+        self,
+        made: RouteInput,
+        engine: str,
+        ttft_s: float,
+        hashes: tuple[int, ...],
+        now: float,
+    ) -> None:
+        """Record that a request was sent to the chosen engine."""
+        request = made.request
+        cached = next(
+            one.cached_tokens for one in made.candidates if one.engine == engine
+        )
+        uncached = max(1.0, request.prompt_tokens - cached)
+        self.loads.sent(
+            request.request_id,
+            engine,
+            uncached,
+            request.kv_tokens,
+            request.priority,
+            ttft_s,
+            now,
+        )
+        self.prefixes.sent(engine, hashes)
+
+    def first_token(self, request_id: str, engine: str, now: float) -> None:
+        """Record a first token."""
+        idle = self.loads.was_idle(request_id)
+        ratio = self.loads.first_token(request_id, now)
+        self.outliers.succeeded(engine, ratio, idle)
+
+    def finished(self, request_id: str, now: float) -> None:
+        """Record the end of a request."""
+        self.loads.finished(request_id, now)
+
+    def failed(self, request_id: str, engine: str, now: float) -> None:
+        """Record a failure that the engine caused."""
+        self.loads.finished(request_id, now)
+        self.outliers.failed(engine)
+
+    def tick(self, now: float) -> list[Ejected | Returned]:
+        """Move roles and outliers; return the engines that changed."""
+        self.separation.tick(len(self.loads.engines), now)
+        return self.outliers.tick(now)
--- a/packages/dandelionpond/src/dandelionpond/routing/settings.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/settings.py
@@ -12,7 +12,8 @@
     estimate a candidate may be and still be drawn. `max_prefix_blocks` bounds the
     prefix map. `long_memory_share` is the largest part of an unreserved engine's memory
     that long prompts may fill. `role_hold_s` is the time for which demand must ask for
-    another number of reserved engines before it is changed.
+    another number of reserved engines before it is changed. `step_tokens` is the most
+    prefill an engine puts into one step.
     """
 
     short_weight: float = 0.5
@@ -32,3 +33,4 @@
     max_reserved_share: float = 0.5
     role_hold_s: float = 20.0
     max_sends: int = 8_000
+    step_tokens: int = 2_048
--- /dev/null
+++ b/packages/standins/src/dandelionpond_standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Compare routing and queueing policies on modelled engines."""
--- /dev/null
+++ b/packages/standins/src/dandelionpond_standins/bench/__main__.py
@@ -0,0 +1,136 @@
+"""Run the comparison: `python -m dandelionpond_standins.bench`.
+
+The last line is JSON with median and range over the seeds. Plots go to the output
+folder. Loads are relative to capacity; with 0.3 and 0.8 there is a second run without
+the prompts over 100,000 tokens, which gives the slowdown of short prompts.
+"""
+
+import json
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import cyclopts
+
+from dandelionpond_standins.bench.baselines import BASELINES
+from dandelionpond_standins.bench.measures import spread
+from dandelionpond_standins.bench.plots import draw
+from dandelionpond_standins.bench.runs import Job, perform
+from dandelionpond_standins.bench.workload import CLASSES, DEPLOYMENTS, Deployment
+
+LOADS = (0.3, 0.8, 1.0, 1.5)
+_SLOWDOWN_LOADS = (0.3, 0.8)
+_FIGURES = (
+    "short_ttft_p50_s",
+    "short_ttft_p95_s",
+    "short_ttft_p99_s",
+    "ttft_p95_over_ideal_all",
+    "long_completed_share",
+    "goodput_tokens_per_s",
+    "jain",
+    "min_satisfaction",
+    "refused_share",
+    "late_share",
+    "refusal_p99_ms",
+)
+
+Results = dict[Job, dict[str, Any]]
+
+
+def jobs(
+    deployments: tuple[Deployment, ...],
+    policies: tuple[str, ...],
+    seeds: int,
+    seconds: float,
+) -> list[Job]:
+    """Return every run of the comparison, the longest first."""
+    listed = [
+        Job(deployment, policy, load, seed, seconds, with_long)
+        for deployment in deployments
+        for policy in policies
+        for load in LOADS
+        for with_long in ((True, False) if load in _SLOWDOWN_LOADS else (True,))
+        for seed in range(1, seeds + 1)
+    ]
+    return sorted(listed, key=lambda job: (job.policy != "ours", -job.load))
+
+
+def _over_seeds(results: Results, job: Job, seeds: int) -> list[dict[str, Any]]:
+    return [
+        results[
+            Job(job.deployment, job.policy, job.load, seed, job.seconds, job.with_long)
+        ]
+        for seed in range(1, seeds + 1)
+    ]
+
+
+def summarize(
+    results: Results, deployment: Deployment, policy: str, seeds: int, seconds: float
+) -> dict[str, Any]:
+    """Return the figures of one deployment and policy over the seeds."""
+
+    def runs(load: float, with_long: bool = True) -> list[dict[str, Any]]:
+        return _over_seeds(
+            results, Job(deployment, policy, load, 1, seconds, with_long), seeds
+        )
+
+    slowdown = {
+        str(load): spread(
+            [
+                with_long["short_ttft_p95_s"] / without["short_ttft_p95_s"]
+                for with_long, without in zip(
+                    runs(load), runs(load, False), strict=True
+                )
+            ]
+        )
+        for load in _SLOWDOWN_LOADS
+    }
+    loads = {}
+    for load in LOADS:
+        figures: dict[str, Any] = {
+            key: spread([one[key] for one in runs(load)]) for key in _FIGURES
+        }
+        figures["ttft_p95_over_ideal"] = {
+            name: spread([one["ttft_p95_over_ideal"][name] for one in runs(load)])
+            for name in CLASSES
+        }
+        loads[str(load)] = figures
+    goodput = [
+        over["goodput_tokens_per_s"] / full["goodput_tokens_per_s"]
+        for over, full in zip(runs(1.5), runs(1.0), strict=True)
+    ]
+    return {
+        "short_slowdown_p95": slowdown,
+        "goodput_150_over_100": spread(goodput),
+        "loads": loads,
+    }
+
+
+def main(
+    *,
+    seeds: int = 5,
+    seconds: float = 400.0,
+    out: Path = Path("out"),
+    workers: int = 3,
+    policies: tuple[str, ...] = ("ours", *BASELINES),
+) -> None:
+    """Compare the policies on modelled engines."""
+    listed = jobs(DEPLOYMENTS, policies, seeds, seconds)
+    with ProcessPoolExecutor(workers) as pool:
+        results = dict(zip(listed, pool.map(perform, listed), strict=True))
+    report = {
+        deployment.name: {
+            policy: summarize(results, deployment, policy, seeds, seconds)
+            for policy in policies
+        }
+        for deployment in DEPLOYMENTS
+    }
+    out.mkdir(parents=True, exist_ok=True)
+    whole = {"seeds": list(range(1, seeds + 1)), "seconds": seconds, **report}
+    (out / "bench.json").write_text(json.dumps(whole, indent=1))
+    draw(report, out)
+    print(json.dumps(whole))
+
+
+if __name__ == "__main__":
+    cyclopts.run(main)
--- a/packages/standins/src/dandelionpond_standins/engine_model.py
+++ b/packages/standins/src/dandelionpond_standins/engine_model.py
@@ -57,6 +57,7 @@
         "_count",
         "_decoding",
         "_ends",
+        "_levels",
         "_memory",
         "_pending",
         "_prefilling",
@@ -83,6 +84,7 @@
         self._count = 0
         self._steps = 0
         self._queued = 0
+        self._levels: dict[int, int] = {}
         self._waiting_count = 0
         self._by_id: dict[str, Run] = {}
         self._waiting: list[Run] = []
@@ -119,9 +121,11 @@
         )
         self._by_id[name] = run
         self._memory.held[name] = run.held
-        self._queued += run.left
+        self._tally(run, run.left)
         self._waiting_count += 1
-        heapq.heappush(self._waiting, run)
+        # The memory just released belongs to this request, so it passes the queue.
+        if not (request.reservation and self._start(run)):
+            heapq.heappush(self._waiting, run)
         self._admit()
         cached = (
             self._memory.cache.match(request.prefix_hashes) * self.spec.block_tokens
@@ -234,6 +238,16 @@
         self._run(now)
         return self._memory.import_(import_id, owner, block, ttl_s, now)
 
+    def _tally(self, run: Run, tokens: int) -> None:
+        """Add to the prefill that is left, in total and for the run's priority."""
+        self._queued += tokens
+        level = run.request.priority
+        left = self._levels.get(level, 0) + tokens
+        if left > 0:
+            self._levels[level] = left
+        else:
+            self._levels.pop(level, None)
+
     def _size(self, request: ModelRequest) -> int:
         return (request.local_tokens or request.prompt_tokens) + request.max_tokens
 
@@ -262,7 +276,7 @@
         if cached < 0:
             return False
         run.left -= cached
-        self._queued -= cached
+        self._tally(run, -cached)
         self._waiting_count -= 1
         insort(self._prefilling, run)
         return True
@@ -328,7 +342,7 @@
             return False
         if portions:
             run.left -= steps * portion
-            self._queued -= steps * portion
+            self._tally(run, -steps * portion)
         self._steps += steps
         self._at += steps * duration
         return True
@@ -342,7 +356,7 @@
             if run.done:
                 continue
             run.left -= portion
-            self._queued -= portion
+            self._tally(run, -portion)
             if run.left == 0:
                 self._prefilling.remove(run)
                 self._begin_decode(run)
@@ -391,7 +405,7 @@
             return False
         run.done = True
         if self._decoding.pop(request_id, None) is None:
-            self._queued -= run.left
+            self._tally(run, -run.left)
             if run in self._prefilling:
                 self._prefilling.remove(run)
             else:
@@ -411,4 +425,5 @@
             len(self._prefilling) + len(self._decoding),
             self._waiting_count,
             self.kv_tokens_used,
+            dict(self._levels),
         )
--- a/packages/standins/src/dandelionpond_standins/engine_types.py
+++ b/packages/standins/src/dandelionpond_standins/engine_types.py
@@ -113,13 +113,17 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True):
-    """Report load as it was at `at`; `kv_tokens_used` leaves out evictable cache."""
+    """Report load as it was at `at`; `kv_tokens_used` leaves out evictable cache.
+
+    `queued_by_priority` splits `queued_prefill_tokens` by the priority of the request.
+    """
 
     at: float
     queued_prefill_tokens: int
     running_requests: int
     waiting_requests: int
     kv_tokens_used: int
+    queued_by_priority: dict[int, int] = {}
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
