Count the delay a prompt causes to less urgent ones

A prompt of middle length took an engine that ran a longer one, because only work of its own urgency counted as queue. Weight 3 is kept.

--- a/packages/dandelionpond/src/dandelionpond/routing/choice.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/choice.py
@@ -57,7 +57,8 @@
     `free_tokens` is engine memory left for this request's length class.
     `cached_tokens` is the part of the prompt in the engine's cache, weighted by the
     certainty of that knowledge. `correction` scales the estimate by what was observed.
-    `delay_s` is the time that a step shared with less urgent work takes longer.
+    `later_tokens` is less urgent prefill that the request would delay; `delay_s` is
+    the time that a step shared with it takes longer.
     `start_share` grows from 0 to 1 during slow start. `window_open` is false when the
     node's concurrency limit toward the engine is reached.
     """
@@ -70,6 +71,7 @@
     cached_tokens: float = 0.0
     correction: float = 1.0
     delay_s: float = 0.0
+    later_tokens: float = 0.0
     report_age_s: float = 0.0
     start_share: float = 1.0
     state: State = "live"
@@ -104,6 +106,19 @@
     return work_s + candidate.delay_s
 
 
+def estimate_cost(
+    request: RouteRequest, candidate: Candidate, policy: RoutingSettings
+) -> float:
+    """Return the time to first token plus the weighted delay of others, in seconds.
+
+    The request delays less urgent work by its own prefill, but by no more than that
+    work has left.
+    """
+    uncached = max(1.0, request.prompt_tokens - candidate.cached_tokens)
+    delayed = min(uncached, candidate.later_tokens) / candidate.prefill_tokens_per_s
+    return estimate_ttft(request, candidate) + policy.impact_weight * delayed
+
+
 def length_class(
     tokens: int, policy: RoutingSettings
 ) -> Literal["short", "mid", "long"]:
@@ -199,7 +214,7 @@
     for candidate in usable:
         refused[candidate.engine] = "not_sampled"
     sample = _sample(usable, policy, source)
-    costs = [estimate_ttft(request, candidate) for candidate in sample]
+    costs = [estimate_cost(request, candidate, policy) for candidate in sample]
     best = min(costs)
     limit = best * (1.0 + policy.near_equal_share) + policy.near_equal_s
     weights: list[float] = []
@@ -210,7 +225,8 @@
         weights.append(share * (best + 1e-6) / (cost + 1e-6) if near else 0.0)
     drawn = source.choices(range(len(sample)), weights)[0]
     del refused[sample[drawn].engine]
-    return RouteChoice(sample[drawn].engine, costs[drawn], _as_tuple(refused))
+    ttft = estimate_ttft(request, sample[drawn])
+    return RouteChoice(sample[drawn].engine, ttft, _as_tuple(refused))
 
 
 def choose_group(
--- a/packages/dandelionpond/src/dandelionpond/routing/router.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/router.py
@@ -149,6 +149,7 @@
                     min(cached.get(name, 0.0), request.prompt_tokens - 1.0),
                     loads.correction(name),
                     self._policy.step_tokens / rate if later > 0 else 0.0,
+                    later,
                     loads.age_s(name, now),
                     self.outliers.start_share(name, now),
                     state,
--- a/packages/dandelionpond/src/dandelionpond/routing/settings.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/settings.py
@@ -13,7 +13,8 @@
     prefix map. `long_memory_share` is the largest part of an unreserved engine's memory
     that long prompts may fill. `role_hold_s` is the time for which demand must ask for
     another number of reserved engines before it is changed. `step_tokens` is the most
-    prefill an engine puts into one step.
+    prefill an engine puts into one step. `impact_weight` weighs the delay that a prompt
+    causes to less urgent ones against its own time to first token.
     """
 
     short_weight: float = 0.5
@@ -34,3 +35,4 @@
     role_hold_s: float = 20.0
     max_sends: int = 8_000
     step_tokens: int = 2_048
+    impact_weight: float = 3.0
