--- a/packages/dandelionpond/src/dandelionpond/adapters/engine_api.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/engine_api.py
@@ -89,7 +89,11 @@
 
 
 class EngineLoad(msgspec.Struct, frozen=True):
-    """Report an engine's load as it was `age_s` seconds before the answer."""
+    """Report an engine's load as it was `age_s` seconds before the answer.
+
+    `queued_by_priority` splits the queued prefill, in tokens; an engine that does not
+    report it leaves it empty.
+    """
 
     age_s: float
     queued_prefill_tokens: int
@@ -98,6 +102,7 @@
     kv_tokens_used: int
     kv_capacity_tokens: int
     leaving: bool = False
+    queued_by_priority: dict[int, int] = {}
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
--- a/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
@@ -1,5 +1,8 @@
 """Decide for each prompt of one node: refuse it, let it wait, or place it."""
 
+import math
+from random import Random
+
 import msgspec
 from expression import Error, Result
 
@@ -12,16 +15,14 @@
     Candidate,
     RouteChoice,
     RouteRequest,
-    State,
     choose,
     choose_group,
     estimate_ttft,
 )
-from dandelionpond.routing.load import EngineTraits, LoadBook
-from dandelionpond.routing.outliers import Ejected, Outliers, Returned
-from dandelionpond.routing.prefixes import PrefixMap
+from dandelionpond.routing.load import EngineTraits
+from dandelionpond.routing.outliers import Ejected, Returned
 from dandelionpond.routing.reach import engines_in_reach
-from dandelionpond.routing.separation import Separation, priority
+from dandelionpond.routing.router import RouteInput, Router
 
 # Time between two tokens of a stream in seconds, before any stream was seen.
 _FIRST_TOKEN_GAP_S = 0.02
@@ -49,16 +50,17 @@
 
 
 class Place(msgspec.Struct, frozen=True, tag=True):
-    """Send a prompt to an engine; `others` are its replacements, best first."""
+    """Send a prompt to an engine; `others` are its replacements, best first.
+
+    `made` and `choice` are the recorded input and outcome of the decision.
+    """
 
     request_id: str
     engine: str
     others: tuple[str, ...]
     priority: int
     ttft_s: float
-    request: RouteRequest
-    candidates: tuple[Candidate, ...]
-    seed: int
+    made: RouteInput
     choice: RouteChoice
 
 
@@ -88,25 +90,21 @@
     `names` in reach are bounded by `engines_in_reach`. Times are monotonic seconds.
     """
 
-    def __init__(self, node: str, settings: Settings, seed: int, now: float) -> None:
+    def __init__(self, node: str, settings: Settings, random: Random) -> None:
         self._node = node
         self._settings = settings
-        self._seed = seed
-        self._states: dict[str, State] = {}
+        self._random = random
         self._work: dict[str, Work] = {}
         self._placed: dict[str, Work] = {}
-        self._groups: set[str] = set()
+        self._groups: dict[str, PlaceGroup] = {}
         self._engines: dict[str, EngineUpstream] = {}
         self._token_gap_s = _FIRST_TOKEN_GAP_S
         self._chosen: Place | PlaceGroup | None = None
-        self._served_at = now
+        self._served_at = -math.inf
         self._served_tokens = 0.0
-        self._backlogged = False
-        self.loads = LoadBook(settings.routing)
-        self.outliers = Outliers(settings.routing)
-        self.prefixes = PrefixMap(settings.routing)
-        self.separation = Separation(settings.routing)
+        self._is_backlogged = False
         self.windows = EngineWindows(settings.limits)
+        self.router = Router(settings.routing, random, self.windows.is_open)
         self.queue = FairQueue(settings.limits, settings.routing)
         self.admission = Admission(settings.limits, 1.0)
         self.counters = {"placed": 0, "grouped": 0, "refused": 0, "expired": 0}
@@ -133,7 +131,8 @@
         self._settings = settings
         names = engines_in_reach(self._node, engines, settings.routing)
         self._engines = {name: engines[name] for name in names[:MAX_CANDIDATES]}
-        self.loads.set_reach(
+        self.router.configure(settings.routing)
+        self.router.set_reach(
             {
                 name: EngineTraits(
                     engine.kv_capacity_tokens,
@@ -143,20 +142,11 @@
                 for name, engine in self._engines.items()
             }
         )
-        self.outliers.set_reach(tuple(self._engines))
-        self.loads.configure(settings.routing)
-        self.outliers.configure(settings.routing)
-        self.prefixes.configure(settings.routing)
-        self.separation.configure(settings.routing)
         self.windows.configure(settings.limits)
         self.queue.configure(settings.limits, settings.routing)
         rate = sum(engine.prefill_tokens_per_s for engine in self._engines.values())
         self.admission.configure(settings.limits, rate)
 
-    def set_state(self, engine: str, state: State) -> None:
-        """Record the state that membership gives an engine."""
-        self._states[engine] = state
-
     def arrive(self, work: Work, now: float) -> list[DispatchAction]:
         """Take a prompt and return what to do with it and with others."""
         checked = self._check(work, now)
@@ -179,11 +169,9 @@
             failure = Failure(kind, "the queue of this node is full", max(1.0, wait))
             return [Refuse(work.request_id, failure)]
         self._work[work.request_id] = work
-        cached = max(
-            self.prefixes.cached_tokens(work.prefix_hashes).values(), default=0
-        )
-        uncached = max(0.0, work.prompt_tokens - cached)
-        self.separation.arrived(work.prompt_tokens, uncached, now)
+        known = self.router.prefixes.cached_tokens(work.prefix_hashes)
+        uncached = max(0.0, work.prompt_tokens - max(known.values(), default=0.0))
+        self.router.separation.arrived(work.prompt_tokens, uncached, now)
         return self.pump(now)
 
     def cancelled(self, request_id: str) -> None:
@@ -194,41 +182,50 @@
 
     def first_token(self, request_id: str, engine: str, now: float) -> None:
         """Learn from the first token of a placed prompt."""
-        idle = self.loads.outstanding_tokens(engine) <= 0 if self._in(engine) else False
-        ratio = self.loads.first_token(request_id, now)
-        self.outliers.succeeded(engine, ratio, reported_idle=idle)
+        if request_id not in self._groups:
+            self.router.first_token(request_id, engine, now)
 
     def finished(
         self, request_id: str, tokens: int, decode_s: float, now: float
     ) -> list[DispatchAction]:
         """Record the end of a placed prompt and place others in its stead."""
-        work = self._placed.pop(request_id, None)
-        self._groups.discard(request_id)
-        self.loads.finished(request_id, now)
-        if work is not None and tokens > 1 and decode_s > 0:
+        self._placed.pop(request_id, None)
+        group = self._groups.pop(request_id, None)
+        self.router.finished(request_id, now)
+        for engine in group.engines if group is not None else ():
+            self.router.finished(f"{request_id}/{engine}", now)
+        if tokens > 1 and decode_s > 0:
             gap = decode_s / (tokens - 1)
             self._token_gap_s += _LEARNING_RATE * (gap - self._token_gap_s)
         return self.pump(now)
 
     def failed(self, engine: str) -> None:
         """Record an attempt that failed because of its engine."""
-        self.outliers.failed(engine)
+        self.router.outliers.failed(engine)
 
     def moved(self, request_id: str, engine: str, now: float) -> None:
         """Record that a later attempt of a prompt went to another engine."""
         work = self._placed.get(request_id)
-        self.loads.finished(request_id, now)
-        if work is not None and self._in(engine):
-            self._note_sent(work, engine, 0, 0.0, now)
+        self.router.finished(request_id, now)
+        if work is not None and engine in self._engines:
+            self.router.loads.sent(
+                request_id,
+                engine,
+                float(work.prompt_tokens),
+                float(work.kv_tokens),
+                0,
+                0.0,
+                now,
+            )
 
     def tick(self, now: float) -> tuple[list[DispatchAction], list[Ejected | Returned]]:
         """Expire, place and learn; called a few times each second."""
-        changes = self.outliers.tick(now)
-        self.separation.tick(len(self._engines), now)
+        changes = self.router.tick(now)
         elapsed = now - self._served_at
-        self.admission.served(self._served_tokens, elapsed, self._backlogged)
+        if elapsed < math.inf:
+            self.admission.served(self._served_tokens, elapsed, self._is_backlogged)
         self._served_at, self._served_tokens = now, 0.0
-        self._backlogged = len(self.queue) > 0
+        self._is_backlogged = len(self.queue) > 0
         actions: list[DispatchAction] = []
         for expired in self.queue.expire(now):
             self._work.pop(expired.item.request_id, None)
@@ -250,33 +247,28 @@
             self._placed[item.request_id] = work
             self._served_tokens += item.tokens
             match self._chosen:
-                case Place(engine=engine, priority=level, ttft_s=ttft):
+                case Place(engine=engine, ttft_s=ttft, made=made):
                     self.counters["placed"] += 1
-                    self._note_sent(work, engine, level, ttft, now)
-                case PlaceGroup(engines=engines, priority=level, ttft_s=ttft):
+                    self.router.sent(made, engine, ttft, work.prefix_hashes, now)
+                case PlaceGroup():
                     self.counters["grouped"] += 1
-                    self._groups.add(item.request_id)
-                    self._note_sent(work, engines[0], level, ttft, now)
+                    self._groups[item.request_id] = self._chosen
+                    self._note_group(self._chosen, work, now)
             actions.append(self._chosen)
             self._chosen = None
 
-    def _in(self, engine: str) -> bool:
-        return engine in self._engines
-
-    def _note_sent(
-        self, work: Work, engine: str, level: int, ttft_s: float, now: float
-    ) -> None:
-        cached = self.prefixes.cached_tokens(work.prefix_hashes).get(engine, 0.0)
-        self.loads.sent(
-            work.request_id,
-            engine,
-            max(0.0, work.prompt_tokens - cached),
-            float(work.kv_tokens),
-            level,
-            ttft_s,
-            now,
-        )
-        self.prefixes.sent(engine, work.prefix_hashes)
+    def _note_group(self, group: PlaceGroup, work: Work, now: float) -> None:
+        prefill = work.prompt_tokens / len(group.engines)
+        for engine in group.engines:
+            self.router.loads.sent(
+                f"{group.request_id}/{engine}",
+                engine,
+                prefill,
+                float(group.part_tokens),
+                group.priority,
+                group.ttft_s,
+                now,
+            )
 
     def _check(self, work: Work, now: float) -> Result[float, Failure]:
         """Return the seconds an idle engine needs, or why the prompt is refused."""
@@ -288,7 +280,7 @@
             name
             for name, engine in self._engines.items()
             if work.model in engine.models
-            and self._state(name) not in ("leaving", "gone")
+            and self.router.state_of(name) not in ("leaving", "gone")
         ]
         if not serving:
             message = f"no engine in reach serves model {work.model!r}"
@@ -302,77 +294,47 @@
             )
         needed_s = self._needed_s(work, serving)
         before = self.queue.tokens_before(
-            work.account, work.weight, float(work.prompt_tokens)
+            work.account, work.weight, float(work.prompt_tokens), now
         )
         checked = self.admission.check(before, needed_s, work.deadline - now)
         return checked.map(lambda _: needed_s)
 
     def _needed_s(self, work: Work, serving: list[str]) -> float:
-        cached = self.prefixes.cached_tokens(work.prefix_hashes)
+        cached = self.router.prefixes.cached_tokens(work.prefix_hashes)
         prefill = min(
             max(1.0, work.prompt_tokens - cached.get(name, 0.0))
-            / self.loads.prefill_rate(name)
+            / self.router.loads.prefill_rate(name)
             for name in serving
         )
         return prefill + work.max_tokens * self._token_gap_s
 
-    def _state(self, engine: str) -> State:
-        if engine in self.outliers.ejected:
-            return "ejected"
-        return self._states.get(engine, "live")
-
     def _candidates(
-        self, work: Work, request: RouteRequest, now: float
+        self, work: Work, request: RouteRequest, waited_s: float, now: float
     ) -> tuple[Candidate, ...]:
-        cached = self.prefixes.cached_tokens(work.prefix_hashes)
-        roles = self.separation.roles(tuple(self._engines))
-        is_long = work.prompt_tokens > self._settings.routing.long_prompt_tokens
+        """Return the engines that serve the model, with the roles that settings fix."""
         found = []
-        for name, engine in self._engines.items():
+        for one in self.router.candidates(request, work.prefix_hashes, now, waited_s):
+            engine = self._engines[one.engine]
             if work.model not in engine.models:
                 continue
-            role = roles[name] if engine.role == "general" else engine.role
-            queued = self.loads.queue_tokens(name, request.priority, now)
-            rate = self.loads.prefill_rate(name)
-            capacity = engine.kv_capacity_tokens
-            free = self.loads.free_tokens(name, now)
-            if is_long:
-                allowed = self.separation.long_memory_tokens(capacity, role)
-                free = min(free, allowed - self.loads.long_tokens(name))
-            found.append(
-                Candidate(
-                    name,
-                    queued,
-                    free,
-                    capacity,
-                    rate,
-                    cached.get(name, 0.0),
-                    self.loads.correction(name),
-                    min(1e9, self.loads.age_s(name, now)),
-                    self.outliers.start_share(name, now),
-                    self._state(name),
-                    role,
-                    self.windows.is_open(queued, rate),
-                )
-            )
+            if engine.role != "general":
+                one = msgspec.structs.replace(one, role=engine.role)
+            found.append(one)
         return tuple(found)
 
     def _fits(self, item: Queued, now: float) -> bool:
         work = self._work[item.request_id]
-        policy = self._settings.routing
-        level = priority(work.prompt_tokens, work.deadline - now, item.needed_s, policy)
-        request = RouteRequest(
-            work.request_id,
-            work.prompt_tokens,
-            work.max_tokens,
-            work.deadline - now,
-            level,
+        remaining = work.deadline - now
+        request = self.router.request(
+            work.request_id, work.prompt_tokens, work.max_tokens, remaining
         )
-        candidates = self._candidates(work, request, now)
+        waited = now - item.enqueued_at
+        candidates = self._candidates(work, request, waited, now)
         if all(work.kv_tokens > one.capacity_tokens for one in candidates):
             return self._fits_group(work, request, candidates)
-        self._seed += 1
-        choice = choose(request, candidates, policy, self._seed)
+        policy = self._settings.routing
+        made = RouteInput(request, candidates, policy, self._random.getrandbits(32))
+        choice = choose(request, candidates, policy, made.seed)
         if choice.engine is None:
             return False
         others = sorted(
@@ -386,11 +348,9 @@
             work.request_id,
             choice.engine,
             tuple(name for _, name in others),
-            level,
+            request.priority,
             choice.ttft_s,
-            request,
-            candidates,
-            self._seed,
+            made,
             choice,
         )
         return True
--- a/packages/dandelionpond/src/dandelionpond/runtime/engines.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/engines.py
@@ -4,9 +4,9 @@
 import logging
 
 from dandelionpond.adapters.engine import EngineSessions, HttpEngineClient
-from dandelionpond.adapters.engine_api import EngineClient
+from dandelionpond.adapters.engine_api import EngineClient, EngineLoad
 from dandelionpond.config.schema import EngineUpstream, Settings
-from dandelionpond.decisions import ROUTE, RouteInput
+from dandelionpond.decisions import ROUTE
 from dandelionpond.errors import Failure
 from dandelionpond.membership.messages import UpstreamChanged
 from dandelionpond.routing.dispatcher import (
@@ -49,9 +49,7 @@
         self._waiting: dict[str, asyncio.Future[Placement]] = {}
         self._poll_failures: dict[str, int] = {}
         self.leases = LeaseRunner(core, gossip, self.client)
-        self.dispatcher = Dispatcher(
-            core.local.name, core.settings, core.random.getrandbits(32), core.now()
-        )
+        self.dispatcher = Dispatcher(core.local.name, core.settings, core.random)
         gossip.listeners.append(self)
         core.on_settings.append(self._configure)
 
@@ -70,7 +68,7 @@
 
     def upstream_changed(self, change: UpstreamChanged) -> None:
         """Take a new state of an upstream."""
-        self.dispatcher.set_state(change.upstream, change.state.value)
+        self.dispatcher.router.set_state(change.upstream, change.state.value)
 
     async def place(self, work: Work) -> Placement:
         """Wait until a prompt is placed or refused."""
@@ -210,11 +208,11 @@
         report = LoadReport(
             engine,
             load.age_s,
-            {0: float(load.queued_prefill_tokens)},
+            _queued(load),
             float(load.kv_tokens_used),
             load.running_requests,
         )
-        self.dispatcher.loads.report(report, now)
+        self.dispatcher.router.report(report, now)
         self._perform(self.dispatcher.pump(now))
 
     async def _ask_events(
@@ -226,7 +224,7 @@
         for event in result.ok:
             added = event.hashes if event.action == "stored" else ()
             removed = event.hashes if event.action == "removed" else ()
-            self.dispatcher.prefixes.apply(
+            self.dispatcher.router.cache_event(
                 CacheEvent(engine, event.seq, added, removed)
             )
             from_seq = max(from_seq, event.seq + 1)
@@ -255,9 +253,12 @@
                 self._perform(self.dispatcher.finished(action.request_id, 0, 0.0, now))
 
     def _record(self, place: Place) -> None:
-        policy = self._core.settings.routing
-        self._core.record(
-            ROUTE,
-            RouteInput(place.request, place.candidates, policy, place.seed),
-            place.choice,
-        )
+        self._core.record(ROUTE, place.made, place.choice)
+
+
+def _queued(load: EngineLoad) -> dict[int, float]:
+    """Return the queued prefill by priority; without a split all of it is urgent."""
+    if load.queued_by_priority:
+        levels = load.queued_by_priority.items()
+        return {level: float(tokens) for level, tokens in levels}
+    return {0: float(load.queued_prefill_tokens)}
--- a/packages/dandelionpond/src/dandelionpond/runtime/state.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/state.py
@@ -147,11 +147,11 @@
         dispatcher = self._node.engines.dispatcher
         return {
             name: {
-                "report_age_s": min(1e9, dispatcher.loads.age_s(name, now)),
-                "free_tokens": dispatcher.loads.free_tokens(name, now),
-                "outstanding_tokens": dispatcher.loads.outstanding_tokens(name),
-                "correction": dispatcher.loads.correction(name),
-                "ejected": name in dispatcher.outliers.ejected,
+                "report_age_s": min(1e9, dispatcher.router.loads.age_s(name, now)),
+                "free_tokens": dispatcher.router.loads.free_tokens(name, now),
+                "outstanding_tokens": dispatcher.router.loads.outstanding_tokens(name),
+                "correction": dispatcher.router.loads.correction(name),
+                "ejected": name in dispatcher.router.outliers.ejected,
             }
             for name in dispatcher.engines
         }
--- a/packages/standins/src/dandelionpond_standins/engine.py
+++ b/packages/standins/src/dandelionpond_standins/engine.py
@@ -228,6 +228,10 @@
             {
                 "age_s": self.now - report.at,
                 "queued_prefill_tokens": int(report.queued_prefill_tokens * factor),
+                "queued_by_priority": {
+                    str(level): int(tokens * factor)
+                    for level, tokens in report.queued_by_priority.items()
+                },
                 "running_requests": int(report.running_requests * factor),
                 "waiting_requests": int(report.waiting_requests * factor),
                 "kv_tokens_used": int(report.kv_tokens_used * factor),
