--- a/packages/standins/src/dandelionpond_standins/client.py
+++ b/packages/standins/src/dandelionpond_standins/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from enum import StrEnum
 
 import aiohttp
@@ -90,9 +91,16 @@
 
 
 async def send_prompt(
-    session: aiohttp.ClientSession, url: str, key: str, prompt: Prompt
+    session: aiohttp.ClientSession,
+    url: str,
+    key: str,
+    prompt: Prompt,
+    on_gap: Callable[[float], object] | None = None,
 ) -> PromptResult:
-    """Send a prompt, stream its answer and compare it with the expected text."""
+    """Send a prompt, stream its answer and compare it with the expected text.
+
+    `on_gap` is called with the seconds between two events that carry text.
+    """
     result = PromptResult(Verdict.FAILED, prompt.tokens)
     headers = {
         "Authorization": f"Bearer {key}",
@@ -120,7 +128,7 @@
                     Verdict.REFUSED if result.execution == "not_run" else Verdict.FAILED
                 )
             else:
-                await _read_stream(response, prompt, result, start)
+                await _read_stream(response, prompt, result, start, on_gap)
     except (aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
         result.error = type(error).__name__
         result.verdict = Verdict.TRUNCATED if result.text else Verdict.FAILED
@@ -145,6 +153,7 @@
     prompt: Prompt,
     result: PromptResult,
     start: float,
+    on_gap: Callable[[float], object] | None,
 ) -> None:
     result.verdict = Verdict.TRUNCATED
     last = start
@@ -170,6 +179,8 @@
             result.ttft_s = now - start
         else:
             result.longest_gap_s = max(result.longest_gap_s, now - last)
+            if on_gap is not None:
+                on_gap(now - last)
         last = now
         parts.append(text)
     result.text = "".join(parts)
