--- a/packages/dandelionpond/src/dandelionpond/adapters/engine.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/engine.py
@@ -303,8 +303,11 @@
 
     def _timeout(self, total_s: float, silence_s: float) -> aiohttp.ClientTimeout:
         connect_s = min(self._settings.connect_timeout_s, total_s)
+        # aiohttp sets this timer anew with each read, so it is left out where the
+        # total ends the wait anyway.
+        sock_read = silence_s if silence_s < total_s else None
         return aiohttp.ClientTimeout(
-            total=total_s, connect=connect_s, sock_read=silence_s, ceil_threshold=3_600
+            total=total_s, connect=connect_s, sock_read=sock_read, ceil_threshold=3_600
         )
 
 
--- a/packages/dandelionpond/src/dandelionpond/http/stream.py
+++ b/packages/dandelionpond/src/dandelionpond/http/stream.py
@@ -20,6 +20,9 @@
 
 DONE = b"data: [DONE]\n\n"
 
+# Time after the deadline for the last event to be written.
+UNREAD_GRACE_S = 0.5
+
 Events = AsyncIterator[Delta | End | Failure]
 
 
@@ -190,7 +193,7 @@
         events = self._gateway.prompt(self._request)
         try:
             if self._streamed:
-                await self._send_stream(events, scope, receive, send)
+                await self._bounded_stream(events, scope, receive, send)
             else:
                 response = await self._collect(events)
                 await response(scope, receive, send)
@@ -237,6 +240,24 @@
             event = await anext(events, None)
             last = await self._send_event(event or self._cut_short(), send)
 
+    async def _bounded_stream(
+        self, events: Events, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Send the stream and give up a caller that has stopped reading.
+
+        One timer serves the whole answer, because one for each event cost a tenth of
+        the time of a relayed token. The answer itself ends at the deadline, so only a
+        blocked send reaches the limit.
+        """
+        remaining = self._request.deadline - self._gateway.now() + UNREAD_GRACE_S
+        try:
+            async with asyncio.timeout(max(0.0, remaining)):
+                await self._send_stream(events, scope, receive, send)
+        except TimeoutError:
+            self._gateway.count_error(
+                Failure(ErrorKind.CALLER_GONE, "the caller did not read its answer")
+            )
+
     async def _send_event(self, event: Delta | End | Failure, send: Send) -> bool:
         match event:
             case Delta(text=text):
@@ -247,18 +268,7 @@
                 self._gateway.count_error(event)
                 body = error_body(event, self._request.request_id)
                 data, last = b"data: " + body + b"\n\n", True
-        remaining = self._request.deadline - self._gateway.now()
-        try:
-            # A caller that stops reading blocks this send; its deadline ends it.
-            async with asyncio.timeout(max(0.0, remaining)):
-                await send(
-                    {"type": "http.response.body", "body": data, "more_body": not last}
-                )
-        except TimeoutError:
-            self._gateway.count_error(
-                Failure(ErrorKind.CALLER_GONE, "the caller did not read its answer")
-            )
-            return True
+        await send({"type": "http.response.body", "body": data, "more_body": not last})
         return last
 
     def _cut_short(self) -> Failure:
--- a/packages/dandelionpond/src/dandelionpond/node.py
+++ b/packages/dandelionpond/src/dandelionpond/node.py
@@ -1,7 +1,6 @@
 """Assemble a node from its slices and run it."""
 
 import asyncio
-import contextlib
 import gc
 import json
 import os
@@ -134,13 +133,9 @@
         """Return the monotonic time in seconds."""
         return self._core.now()
 
-    async def prompt(
-        self, request: PromptRequest
-    ) -> AsyncIterator[Delta | End | Failure]:
+    def prompt(self, request: PromptRequest) -> AsyncIterator[Delta | End | Failure]:
         """Run a prompt."""
-        async with contextlib.aclosing(self.prompts.run(request)) as events:
-            async for event in events:
-                yield event
+        return self.prompts.run(request)
 
     def issue_ticket(self, account: str, service: str) -> Result[IssuedTicket, Failure]:
         """Issue a ticket for one call, unless this node is leaving.
--- a/packages/dandelionpond/src/dandelionpond/runtime/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/prompts.py
@@ -47,6 +47,8 @@
 # Wait before a prompt asks for the memory of several engines again; load reports lag by
 # about as much.
 GROUP_RETRY_S = 0.5
+# An estimate for an idle engine can be near zero; silence is judged by it.
+MIN_ESTIMATE_S = 0.05
 
 Answer = Delta | End | Failure
 
@@ -83,14 +85,14 @@
         core.metrics.in_flight.labels("prompt").set(self.in_flight)
         outcome = "cancelled"
         try:
-            async for event in run.events():
-                match event:
-                    case End():
-                        outcome = "complete"
-                    case Failure():
-                        ran = event.execution is not Execution.NOT_RUN
-                        outcome = "failed" if ran else "refused"
-                        accounts.count_refusal(request.account, event)
+            failure = await run.start()
+            if failure is not None:
+                outcome = self._ended(request, failure)
+                yield failure
+                return
+            async for event in run.answer():
+                if not isinstance(event, Delta):
+                    outcome = self._ended(request, event)
                 yield event
         finally:
             run.close()
@@ -105,6 +107,13 @@
             core.metrics.tokens.labels("prompt").inc(used)
             core.metrics.tokens.labels("generated").inc(run.generated)
 
+    def _ended(self, request: PromptRequest, event: End | Failure) -> str:
+        """Return the outcome for the metrics and count a refusal."""
+        if isinstance(event, End):
+            return "complete"
+        self.accounts.count_refusal(request.account, event)
+        return "refused" if event.execution is Execution.NOT_RUN else "failed"
+
     def cancel_all(self) -> None:
         """Interrupt every prompt; callers get a failure."""
         for run in list(self._runs):
@@ -136,9 +145,9 @@
         self.generated = 0
         self.was_sent = False
 
-    async def events(self) -> AsyncIterator[Answer]:
-        """Yield the answer."""
-        request, now = self._request, self._core.now()
+    async def start(self) -> Failure | None:
+        """Place the prompt; return why it cannot run."""
+        request = self._request
         account = self._core.settings.client_accounts.get(request.account)
         work = Work(
             request.request_id,
@@ -152,28 +161,24 @@
         )
         placed = await self._place_with_memory(work)
         if isinstance(placed, Refuse):
-            yield placed.failure
-            return
+            return placed.failure
         self._place = placed
         if isinstance(placed, PlaceGroup):
             names: tuple[str, ...] = placed.engines[:1]
         else:
             names = (placed.engine, *placed.others)
-        model = self._core.settings.models.get(request.model)
-        if model is None:
+        if request.model not in self._core.settings.models:
             message = f"model {request.model!r} was removed"
-            yield Failure(ErrorKind.UNKNOWN_MODEL, message)
-            return
+            return Failure(ErrorKind.UNKNOWN_MODEL, message)
         self._attempts = Attempts(
             request.request_id,
             names,
             self._core.settings.requests,
             self._runner.budgets.get(f"model:{request.model}"),
             request.deadline,
-            max(placed.ttft_s, 0.05),
+            max(placed.ttft_s, MIN_ESTIMATE_S),
         )
-        async for event in self._drive(self._attempts, now):
-            yield event
+        return None
 
     async def _place_with_memory(self, work: Work) -> Place | PlaceGroup | Refuse:
         """Place a prompt; one for a group also gets the memory of all its engines.
@@ -201,7 +206,10 @@
                 return Refuse(work.request_id, failure)
             await asyncio.sleep(GROUP_RETRY_S * (0.5 + self._core.random.random()))
 
-    async def _drive(self, attempts: Attempts, now: float) -> AsyncIterator[Answer]:
+    async def answer(self) -> AsyncIterator[Answer]:
+        """Yield the answer of a prompt that `start` has placed."""
+        attempts = self._attempts
+        assert attempts is not None
         event: StreamEvent = Started()
         while True:
             now = self._core.now()
