--- a/packages/dandelionpond/src/dandelionpond/config/local.py
+++ b/packages/dandelionpond/src/dandelionpond/config/local.py
@@ -1,6 +1,5 @@
-"""Read the local settings file of one node."""
+"""Define and check the local settings of one node."""
 
-from pathlib import Path
 from typing import Annotated
 
 import msgspec
@@ -45,11 +44,9 @@
     tls_private_key: str | None = None
 
 
-def load_local_settings(path: Path) -> Result[LocalSettings, str]:
-    """Read and check a local settings file; an error is one line of text."""
+def decode_local_settings(data: bytes) -> Result[LocalSettings, str]:
+    """Check the content of a local settings file; an error is one line of text."""
     try:
-        return Ok(msgspec.json.decode(path.read_bytes(), type=LocalSettings))
-    except OSError as error:
-        return Error(f"{path}: {error.strerror}")
+        return Ok(msgspec.json.decode(data, type=LocalSettings))
     except msgspec.MsgspecError as error:
-        return Error(f"{path}: {error}")
+        return Error(str(error))
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/http/tests/test_server.py
@@ -0,0 +1,71 @@
+"""Test HTTP listeners."""
+
+import asyncio
+import hashlib
+import ssl
+
+import trustme
+from starlette.applications import Starlette
+
+from dandelionpond.http.server import HttpListener, TlsFiles, bind
+
+
+def write_certificate(authority, folder):
+    certificate = authority.issue_cert("127.0.0.1")
+    chain, key = folder / "certificate.pem", folder / "key.pem"
+    chain.write_bytes(b"".join(blob.bytes() for blob in certificate.cert_chain_pems))
+    certificate.private_key_pem.write_to_path(str(key))
+    return TlsFiles(str(chain), str(key))
+
+
+async def connect(address, context):
+    host, port = address.split(":")
+    return await asyncio.open_connection(host, int(port), ssl=context)
+
+
+def fingerprint(writer):
+    data = writer.get_extra_info("ssl_object").getpeercert(binary_form=True)
+    return hashlib.sha256(data).hexdigest()
+
+
+class TestHttpListener:
+    def test_certificate_is_read_again_without_a_restart(self, tmp_path):
+        """Guard against an expired certificate that only a restart replaces.
+
+        Connections that are open keep working with the old one.
+        """
+        authority = trustme.CA()
+        context = ssl.create_default_context()
+        authority.configure_trust(context)
+
+        async def scenario():
+            files = write_certificate(authority, tmp_path)
+            app = Starlette()
+            listener = HttpListener(app, bind("127.0.0.1:0"), files)
+            await listener.start()
+            reader, old = await connect(listener.address, context)
+            before = fingerprint(old)
+            listener.reload_tls(write_certificate(authority, tmp_path))
+            _, new = await connect(listener.address, context)
+            after = fingerprint(new)
+            old.write(b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+            answer = await reader.read()
+            new.close()
+            old.close()
+            await listener.stop()
+            return before, after, answer
+
+        before, after, answer = asyncio.run(scenario())
+        assert before != after
+        assert answer.startswith(b"HTTP/1.1 404 ")
+
+    def test_loop_is_the_standard_one(self):
+        """Guard against an event loop that uses io_uring, such as uvloop."""
+
+        async def scenario():
+            listener = HttpListener(Starlette(), bind("127.0.0.1:0"))
+            await listener.start()
+            await listener.stop()
+            return type(asyncio.get_running_loop()).__module__
+
+        assert asyncio.run(scenario()).startswith("asyncio.")
--- a/packages/dandelionpond/src/dandelionpond/main.py
+++ b/packages/dandelionpond/src/dandelionpond/main.py
@@ -3,11 +3,12 @@
 import asyncio
 import sys
 from pathlib import Path
+from typing import NoReturn
 
 from cyclopts import App
 
 from dandelionpond import __version__
-from dandelionpond.config.local import LocalSettings, load_local_settings
+from dandelionpond.config.local import LocalSettings, decode_local_settings
 from dandelionpond.http.keys import hash_key
 
 EXIT_OK = 0
@@ -22,13 +23,17 @@
 
 
 def _load(path: Path) -> LocalSettings:
-    loaded = load_local_settings(path)
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        _fail(f"{path}: {error.strerror}")
+    loaded = decode_local_settings(data)
     if loaded.is_error():
-        _fail(loaded.error)
+        _fail(f"{path}: {loaded.error}")
     return loaded.ok
 
 
-def _fail(message: str) -> None:
+def _fail(message: str) -> NoReturn:
     print(f"dandelionpond: {message}", file=sys.stderr)
     sys.exit(EXIT_FAILED)
 
@@ -52,7 +57,6 @@
         return asyncio.run(serve(local))
     except OSError as error:
         _fail(f"cannot listen: {error.strerror or error}")
-    return EXIT_FAILED
 
 
 @app.command
--- a/packages/standins/tests/test_stack.py
+++ b/packages/standins/tests/test_stack.py
@@ -1,11 +1,15 @@
 """Test the whole path with real processes."""
 
 import asyncio
+import contextlib
 import json
+import os
+from pathlib import Path
 
 import pytest
 
 from dandelionpond_standins.client import Verdict, get_ticket, send_call, send_prompt
+from dandelionpond_standins.launcher import OPERATOR_KEY
 from dandelionpond_standins.sample import KEY, OTHER_KEY, PAYMENT, STOCK
 from dandelionpond_standins.scenario import (
     caller_urls,
@@ -15,6 +19,16 @@
 )
 
 
+def open_files(pid):
+    """Return what the file descriptors of a process refer to."""
+    found = []
+    for link in Path(f"/proc/{pid}/fd").iterdir():
+        # A descriptor may be closed between listing and reading.
+        with contextlib.suppress(FileNotFoundError):
+            found.append(os.readlink(link))
+    return found
+
+
 class TestWholePath:
     def test_prompts_payments_and_replay(self, tmp_path):
         """Guard against a part of the path that works alone but not with the others."""
@@ -80,3 +94,48 @@
         for other in others:
             assert (other.status, other.error) == (409, "ticket_mismatch")
             assert mine.body not in other.body
+
+
+class TestSecrets:
+    def test_keys_and_contents_stay_out_of_logs_dumps_and_records(self, tmp_path):
+        """Guard against keys, tickets and prompt text that leak to operators' views.
+
+        The same run checks that a node uses no io_uring, which the standard event loop
+        does not need.
+        """
+        marker = "confidential-text"
+
+        async def scenario(stack):
+            url = caller_urls(stack)[0]
+            result = await send_prompt(
+                stack.session, url, KEY, sample_prompt(500, seed=marker)
+            )
+            ticket = await get_ticket(stack.session, url, KEY, PAYMENT)
+            body = f'{{"memo":"{marker}"}}'.encode()
+            for each in caller_urls(stack):
+                await send_call(stack.session, each, KEY, PAYMENT, body, ticket)
+            await send_call(stack.session, url, "wrong-" + KEY, PAYMENT, body, ticket)
+            views = [stack.log(name) for name in stack.nodes]
+            headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+            for name in stack.nodes:
+                for path in ("/v1/dump", "/v1/status", "/v1/usage", "/v1/decisions"):
+                    url = stack.operator_url(name) + path
+                    async with stack.session.get(url, headers=headers) as response:
+                        views.append(await response.text())
+                url = stack.operator_url(name) + "/metrics"
+                async with stack.session.get(url, headers=headers) as response:
+                    views.append(await response.text())
+            links = [
+                link
+                for child in stack.nodes.values()
+                for link in open_files(child.process.pid)
+            ]
+            return result, ticket, views, links
+
+        result, ticket, views, links = run_stack(tmp_path, scenario)
+        assert result.verdict is Verdict.COMPLETE
+        secrets = [KEY, "wrong-" + KEY, OPERATOR_KEY, ticket, ticket[-43:], marker]
+        secrets.append(result.text.split()[0])
+        for view in views:
+            assert [secret for secret in secrets if secret in view] == []
+        assert links and not [link for link in links if "io_uring" in link]
