--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/check.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/check.py
@@ -3,10 +3,12 @@
 from pathlib import Path
 
 from dandelionpond.config.merge import Merged
-from dandelionpond_ctl.folder import FINDINGS, OK, load, print_json, print_table
+from dandelionpond_ctl.exit_codes import FINDINGS, OK
+from dandelionpond_ctl.folder import load, print_json, print_table
+from dandelionpond_ctl.user_settings import wants_json
 
 
-def check(directory: Path, /, *, json: bool = False) -> int:
+def check(directory: Path, /, *, json: bool | None = None) -> int:
     """Check a folder and report every error with its file, path and reason.
 
     Parameters
@@ -18,12 +20,12 @@
     """
     loaded = load(directory)
     if isinstance(loaded, Merged):
-        if json:
+        if wants_json(json):
             print_json({"ok": True, "digest": loaded.digest, "errors": []})
         else:
             print(f"ok {loaded.digest}")
         return OK
-    if json:
+    if wants_json(json):
         print_json({"ok": False, "digest": None, "errors": loaded})
     else:
         rows = [(error.file, error.path, error.reason) for error in loaded]
--- /dev/null
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/completion.py
@@ -0,0 +1,20 @@
+"""Print a completion script for a shell."""
+
+from typing import Literal
+
+from dandelionpond_ctl.exit_codes import OK
+
+
+def completion(shell: Literal["bash", "zsh", "fish"], /) -> int:
+    """Print the script that completes commands and options in a shell.
+
+    Parameters
+    ----------
+    shell
+        The shell; the script is read by it, for example `source <(...)` in bash.
+    """
+    # Imported here, because the application imports this module.
+    from dandelionpond_ctl.main import app
+
+    print(app.generate_completion(shell=shell))
+    return OK
--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/diff.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/diff.py
@@ -7,8 +7,10 @@
 import msgspec
 
 from dandelionpond.config.schema import Settings
-from dandelionpond_ctl.folder import FINDINGS, OK, load_valid, print_json, print_table
+from dandelionpond_ctl.exit_codes import FINDINGS, OK
+from dandelionpond_ctl.folder import load_valid, print_json, print_table
 from dandelionpond_ctl.render import leaves
+from dandelionpond_ctl.user_settings import wants_json
 
 MAX_NAMES = 5
 
@@ -46,7 +48,7 @@
     affects: tuple[str, ...]
 
 
-def diff(before: Path, after: Path, /, *, json: bool = False) -> int:
+def diff(before: Path, after: Path, /, *, json: bool | None = None) -> int:
     """Show what changes for client accounts, services, models and upstreams.
 
     Defaults count as values, so a field that is set to its default is no change. The
@@ -63,7 +65,7 @@
     """
     old, new = load_valid(before), load_valid(after)
     changes = compare(old.settings, new.settings)
-    if json:
+    if wants_json(json):
         print_json({"before": old.digest, "after": new.digest, "changes": changes})
     elif changes:
         rows = [
--- /dev/null
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/exit_codes.py
@@ -0,0 +1,9 @@
+"""List the exit codes of the operators' tool."""
+
+OK, FINDINGS, USAGE = 0, 1, 2
+
+EXIT_CODES = {
+    OK: "all is well",
+    FINDINGS: "there are findings, or the command failed in part or as a whole",
+    USAGE: "wrong usage, or a file or folder that cannot be read",
+}
--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/folder.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/folder.py
@@ -9,8 +9,8 @@
 from rich.table import Table
 
 from dandelionpond.config.merge import Merged, SettingsError, merge_folder
+from dandelionpond_ctl.exit_codes import FINDINGS, USAGE
 
-OK, FINDINGS, USAGE = 0, 1, 2
 # A pipe or a file has no width; this one keeps the longest usual row on one line.
 FILE_WIDTH = 200
 
--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/main.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/main.py
@@ -5,26 +5,52 @@
 
 import cyclopts
 
+from dandelionpond import __version__
 from dandelionpond_ctl.check import check
+from dandelionpond_ctl.completion import completion
 from dandelionpond_ctl.diff import diff
-from dandelionpond_ctl.folder import OK, USAGE, CommandError
+from dandelionpond_ctl.drain import drain
+from dandelionpond_ctl.dump import dump
+from dandelionpond_ctl.exit_codes import EXIT_CODES, FINDINGS, OK, USAGE
+from dandelionpond_ctl.explain import explain
+from dandelionpond_ctl.folder import CommandError
+from dandelionpond_ctl.record import record
 from dandelionpond_ctl.render import render
+from dandelionpond_ctl.replay import replay
+from dandelionpond_ctl.status import status
+from dandelionpond_ctl.usage import usage
+
+_EXIT_CODES = "; ".join(f"{code}: {text}" for code, text in EXIT_CODES.items())
 
 app = cyclopts.App(
     name="dandelionpondctl",
-    help="Check, print and compare published settings.",
-    version_flags=[],
+    help="Check published settings, watch and drain nodes, replay their decisions.",
+    help_epilogue=f"Exit codes: {_EXIT_CODES}.",
+    version=__version__,
     result_action="return_value",
+    suppress_keyboard_interrupt=False,
+)
+COMMANDS = (
+    check,
+    render,
+    diff,
+    status,
+    dump,
+    usage,
+    drain,
+    record,
+    replay,
+    explain,
+    completion,
 )
-for command in (check, render, diff):
+for command in COMMANDS:
     app.command(command)
 
 
 def run(arguments: Sequence[str]) -> int:
-    """Run one command and return its exit code.
+    """Run one command and return its exit code from `EXIT_CODES`.
 
-    0 means that all is well, 1 that there are findings or errors, 2 a usage error. An
-    expected error is one line on standard error.
+    An expected error is one line on standard error.
     """
     try:
         code = app(
@@ -37,6 +63,9 @@
         text = " ".join(str(error).split())
         print(f"dandelionpondctl: {text}", file=sys.stderr)
         return USAGE
+    except KeyboardInterrupt:
+        print("dandelionpondctl: interrupted", file=sys.stderr)
+        return FINDINGS
     except BrokenPipeError:
         return OK
     return code if isinstance(code, int) else OK
--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/render.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/render.py
@@ -7,10 +7,12 @@
 import msgspec
 
 from dandelionpond.config.check import join
-from dandelionpond_ctl.folder import OK, load_valid, print_json, print_table
+from dandelionpond_ctl.exit_codes import OK
+from dandelionpond_ctl.folder import load_valid, print_json, print_table
+from dandelionpond_ctl.user_settings import wants_json
 
 
-def render(directory: Path, /, *, json: bool = False) -> int:
+def render(directory: Path, /, *, json: bool | None = None) -> int:
     """Print the merged state, its hash and the file that each value comes from.
 
     Parameters
@@ -21,7 +23,7 @@
         Print JSON in place of a table.
     """
     merged = load_valid(directory)
-    if json:
+    if wants_json(json):
         print_json(
             {
                 "digest": merged.digest,
--- /dev/null
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/usage.py
@@ -0,0 +1,95 @@
+"""Show what client accounts used and were refused."""
+
+import sys
+
+import msgspec
+
+from dandelionpond_ctl.exit_codes import FINDINGS, OK
+from dandelionpond_ctl.folder import print_json, print_table
+from dandelionpond_ctl.nodes import DEFAULT_OPTIONS, NodeOptions, Reply, connect, run
+from dandelionpond_ctl.user_settings import wants_json
+
+
+class Used(msgspec.Struct):
+    """Count what one client account used since the start of each node asked."""
+
+    requests: int = 0
+    calls: int = 0
+    prompt_tokens: int = 0
+    generated_tokens: int = 0
+    refused: dict[str, int] = {}
+
+
+class NodeUsage(msgspec.Struct, frozen=True):
+    """Hold the answer of `/v1/usage`."""
+
+    node: str
+    accounts: dict[str, Used]
+
+
+def usage(options: NodeOptions = DEFAULT_OPTIONS, *, json: bool | None = None) -> int:
+    """Sum the usage of each client account over the nodes, since the start of each.
+
+    The counters of a node that stopped or restarted are lost, so the sums are no basis
+    for billing. The exit code is 1 if a node gave no answer.
+
+    Parameters
+    ----------
+    json
+        Print JSON, also with the counters of each node, in place of a table.
+    """
+    replies = run(_ask(options))
+    accounts = total(replies)
+    errors = {reply.node: reply.error for reply in replies if reply.error is not None}
+    if wants_json(json):
+        nodes = {
+            reply.value.node: reply.value.accounts
+            for reply in replies
+            if reply.error is None
+        }
+        print_json({"accounts": accounts, "nodes": nodes, "errors": errors})
+        return FINDINGS if errors else OK
+    columns = ("client account", "requests", "calls", "prompt tokens")
+    rows = [
+        (
+            name,
+            str(used.requests),
+            str(used.calls),
+            str(used.prompt_tokens),
+            str(used.generated_tokens),
+            ", ".join(
+                f"{count} {kind}" for kind, count in sorted(used.refused.items())
+            ),
+        )
+        for name, used in accounts.items()
+    ]
+    print_table((*columns, "generated tokens", "refused"), rows)
+    for node, error in errors.items():
+        print(f"dandelionpondctl: {node}: {error}", file=sys.stderr)
+    return FINDINGS if errors else OK
+
+
+def total(replies: list[Reply]) -> dict[str, Used]:
+    """Return the sums by client account, in name order."""
+    sums: dict[str, Used] = {}
+    for reply in replies:
+        if reply.error is not None:
+            continue
+        for name, used in reply.value.accounts.items():
+            found = sums.setdefault(name, Used())
+            found.requests += used.requests
+            found.calls += used.calls
+            found.prompt_tokens += used.prompt_tokens
+            found.generated_tokens += used.generated_tokens
+            for kind, count in used.refused.items():
+                found.refused[kind] = found.refused.get(kind, 0) + count
+    return dict(sorted(sums.items()))
+
+
+async def _ask(options: NodeOptions) -> list[Reply]:
+    async with connect(options) as nodes:
+
+        async def one(url: str) -> NodeUsage:
+            return await nodes.get(url, "/v1/usage", NodeUsage)
+
+        return await nodes.all(one, "asking for the usage")
