--- /dev/null
+++ b/packages/dandelionpond-ctl/tests/conftest.py
@@ -0,0 +1,134 @@
+"""Serve the operators' API of nodes with fixed answers in a thread of their own."""
+
+import asyncio
+import threading
+
+import pytest
+from prometheus_client import CollectorRegistry
+
+from dandelionpond import __version__
+from dandelionpond.decisions import ROUTE, RouteInput
+from dandelionpond.http.keys import hash_key
+from dandelionpond.http.operators import OperatorsApi
+from dandelionpond.http.server import HttpListener, bind
+from dandelionpond.record.recorder import Recorder
+from dandelionpond.record.settings import RecordSettings
+from dandelionpond.routing.choice import Candidate, RouteRequest
+from dandelionpond.routing.settings import RoutingSettings
+
+KEY = "operators-key"
+
+
+class FakeView:
+    """Answer with fixed values; tests change them before they ask."""
+
+    def __init__(self, name):
+        self.live = self.ready = True
+        self.registry = CollectorRegistry()
+        self.recorder = Recorder(RecordSettings(), __version__)
+        self.lines = None
+        self.drained = 0
+        self.peers = []
+        self.url = ""
+        self.fields = {
+            "node": name,
+            "incarnation": "1-2",
+            "version": __version__,
+            "failure_domain": "a",
+            "phase": "serving",
+            "ready": True,
+            "settings_revision": 7,
+            "settings_digest": "d" * 64,
+            "settings_refused": None,
+            "reader": False,
+            "prompts_in_flight": 1,
+            "calls_in_flight": 2,
+            "queued": 3,
+        }
+        self.accounts = {}
+
+    def status(self):
+        states = [peer["state"] for peer in self.peers]
+        return self.fields | {"peers": {s: states.count(s) for s in set(states)}}
+
+    def dump(self):
+        return {"status": self.status(), "membership": {"peers": self.peers}}
+
+    def usage(self):
+        return {"node": self.fields["node"], "accounts": self.accounts}
+
+    def explain(self, request_id):
+        return [line for line in self.recorder.lines() if request_id.encode() in line]
+
+    async def decisions(self, follow):
+        for line in self.recorder.lines() if self.lines is None else self.lines:
+            yield line + b"\n"
+
+    def drain(self):
+        self.drained += 1
+        self.fields["phase"] = "announced"
+        return {"phase": "announced"}
+
+    def route(self, request_id, at):
+        """Record one choice between an engine that is live and one that is leaving."""
+        candidates = (
+            Candidate("e1", 0.0, 9_000.0, 10_000, 1_000.0),
+            Candidate("e2", 0.0, 9_000.0, 10_000, 1_000.0, state="leaving"),
+        )
+        request = RouteRequest(request_id, 1_000, 10, 60.0)
+        data = RouteInput(request, candidates, RoutingSettings(), 1)
+        self.recorder.record(ROUTE, data, ROUTE.function(data), at, "d" * 64)
+
+
+class Fleet:
+    """Run listeners in one event loop on another thread."""
+
+    def __init__(self):
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever)
+        self._thread.start()
+        self._listeners = {}
+
+    def node(self, name):
+        """Start a node and return its view."""
+        view = FakeView(name)
+        app = OperatorsApi(view, hash_key(KEY)).app()
+        listener = HttpListener(app, bind("127.0.0.1:0"))
+        self._wait(listener.start())
+        view.url = f"http://{listener.address}"
+        self._listeners[name] = listener
+        return view
+
+    def stop(self, name):
+        """Close the listener of a node."""
+        self._wait(self._listeners.pop(name).stop())
+
+    def close(self):
+        """Stop everything."""
+        for name in list(self._listeners):
+            self.stop(name)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    def _wait(self, work):
+        asyncio.run_coroutine_threadsafe(work, self._loop).result(30)
+
+
+@pytest.fixture
+def fleet():
+    """Return listeners that are closed after the test."""
+    running = Fleet()
+    yield running
+    running.close()
+
+
+@pytest.fixture(autouse=True)
+def user_folder(tmp_path, monkeypatch):
+    """Keep the user's own settings and key out of the tests."""
+    folder = tmp_path / "config"
+    monkeypatch.setattr(
+        "platformdirs.user_config_path", lambda *names, **options: folder
+    )
+    monkeypatch.setenv("DANDELIONPOND_OPERATOR_KEY", KEY)
+    return folder
