--- a/packages/dandelionpond/src/dandelionpond/membership/peers.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/peers.py
@@ -145,7 +145,7 @@
 
     def message_for(self, receiver: str) -> Exchange:
         """Return a request to a peer outside the periodic gossip."""
-        return self._message(receiver, is_full=True, is_request=True)
+        return self._message(receiver)
 
     def settings_changed(self, revision: int, digest: str, now: float) -> None:
         """Carry a new settings revision in messages and relay it at once."""
@@ -301,7 +301,9 @@
             # A starting node has no proof that an unheard peer ever ran.
             is_known = peer.incarnation is not None or self.has_first_pass
             if is_known and now - peer.changed_at >= settings.gone_after_s:
-                self._set(peer, PeerState.GONE, now, actions)
+                # Each node that heard the suspicion has a timer of its own, so this is
+                # no news; relaying it would double the rumors of a partition.
+                self._set(peer, PeerState.GONE, now, actions, is_relayed=False)
         if self.has_first_pass and self._table.gone:
             oldest = next(iter(self._table.gone.values()))
             is_old = now - oldest.changed_at >= settings.forget_after_s
