--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/drain.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/drain.py
@@ -36,8 +36,8 @@
 
 
 def drain(
-    options: NodeOptions = DEFAULT_OPTIONS,
     *,
+    options: NodeOptions = DEFAULT_OPTIONS,
     wait_s: Annotated[float, Parameter(validator=validators.Number(gte=0))] = 0.0,
     json: bool | None = None,
 ) -> int:
--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/dump.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/dump.py
@@ -12,8 +12,8 @@
 
 
 def dump(
-    options: NodeOptions = DEFAULT_OPTIONS,
     *,
+    options: NodeOptions = DEFAULT_OPTIONS,
     section: str | None = None,
     json: bool | None = None,
 ) -> int:
--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/explain.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/explain.py
@@ -45,8 +45,8 @@
 def explain(
     request_id: str,
     /,
-    options: NodeOptions = DEFAULT_OPTIONS,
     *,
+    options: NodeOptions = DEFAULT_OPTIONS,
     json: bool | None = None,
 ) -> int:
     """Show why a request went to its engine, which were refused, and each attempt.
--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/nodes.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/nodes.py
@@ -281,8 +281,10 @@
         return NodeError("no answer in time")
     if isinstance(error, aiohttp.ClientConnectorError):
         refused = isinstance(error.os_error, ConnectionRefusedError)
-        return NodeError(f"unreachable: {error.strerror or error}", refused)
-    return NodeError(f"unreachable: {' '.join(str(error).split()) or repr(error)}")
+        return NodeError(f"cannot connect: {error.strerror or error}", refused)
+    return NodeError(
+        f"connection failed: {' '.join(str(error).split()) or repr(error)}"
+    )
 
 
 async def _show(bar: Bar) -> None:
--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/record.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/record.py
@@ -26,8 +26,8 @@
 
 
 def record(
-    options: NodeOptions = DEFAULT_OPTIONS,
     *,
+    options: NodeOptions = DEFAULT_OPTIONS,
     output: Path | None = None,
     follow: bool = False,
 ) -> int:
--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/status.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/status.py
@@ -48,7 +48,7 @@
     queued: int
 
 
-def status(options: NodeOptions = DEFAULT_OPTIONS, *, json: bool | None = None) -> int:
+def status(*, options: NodeOptions = DEFAULT_OPTIONS, json: bool | None = None) -> int:
     """Show each node, who is behind in settings, who suspects whom, who is unreachable.
 
     The exit code is 1 if there is a finding. A node may be behind for up to 5 s after a
--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/usage.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/usage.py
@@ -27,7 +27,7 @@
     accounts: dict[str, Used]
 
 
-def usage(options: NodeOptions = DEFAULT_OPTIONS, *, json: bool | None = None) -> int:
+def usage(*, options: NodeOptions = DEFAULT_OPTIONS, json: bool | None = None) -> int:
     """Sum the usage of each client account over the nodes, since the start of each.
 
     The counters of a node that stopped or restarted are lost, so the sums are no basis
