Reserve engines for short prompts and divide prompts by memory

Short prompts still waited for steps of others, and long engines reserved by noisy demand took capacity from prompts of middle length. The number of engines reserved for short prompts now follows their demand against an engine's rate; none is reserved for long prompts, and a prompt that would fill an engine's memory share is divided over a group. Shares of total demand were tried for the number and refused: a few prompts of 1,000,000 tokens move them by a third, so nodes disagreed on the roles.

--- a/packages/dandelionpond/src/dandelionpond/routing/choice.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/choice.py
@@ -129,8 +129,7 @@
 
 
 def _is_reserved(request: RouteRequest, role: Role, policy: RoutingSettings) -> bool:
-    is_long = length_class(request.prompt_tokens, policy) == "long"
-    return (role == "long" and not is_long) or (role == "short" and is_long)
+    return role != "general" and role != length_class(request.prompt_tokens, policy)
 
 
 def _hard_reason(request: RouteRequest, candidate: Candidate) -> Reason | None:
@@ -161,7 +160,10 @@
 def _sample(
     usable: list[Candidate], policy: RoutingSettings, source: random.Random
 ) -> list[Candidate]:
-    """Draw up to `choices` candidates; slow-starting ones are drawn less often."""
+    """Draw up to `choices` candidates, those reserved for the request's length first.
+
+    Slow-starting ones are drawn less often.
+    """
     started = [
         candidate
         for candidate in usable
@@ -169,7 +171,12 @@
         or source.random() < max(_MIN_START_SHARE, candidate.start_share)
     ]
     pool = started or usable
-    return source.sample(pool, min(max(1, policy.choices), len(pool)))
+    reserved = [candidate for candidate in pool if candidate.role != "general"]
+    others = [candidate for candidate in pool if candidate.role == "general"]
+    count = max(1, policy.choices) - len(reserved)
+    if count <= 0:
+        return source.sample(reserved, max(1, policy.choices))
+    return reserved + source.sample(others, min(count, len(others)))
 
 
 def choose(
@@ -242,7 +249,7 @@
     usable = [
         candidate
         for candidate in candidates[:MAX_CANDIDATES]
-        if candidate.state in ("live", "suspect")
+        if candidate.state in ("live", "suspect") and candidate.role != "short"
     ]
     for count in range(min_engines, len(usable) + 1):
         part = request.kv_tokens / count
--- a/packages/dandelionpond/src/dandelionpond/routing/router.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/router.py
@@ -39,6 +39,7 @@
 
     __slots__ = (
         "_is_open",
+        "_nodes",
         "_policy",
         "_random",
         "_states",
@@ -58,6 +59,7 @@
         self._random = random_source
         self._is_open = is_open
         self._states: dict[str, State] = {}
+        self._nodes = 1
         self.loads = LoadBook(policy)
         self.outliers = Outliers(policy)
         self.prefixes = PrefixMap(policy)
@@ -71,6 +73,10 @@
         self.loads.set_reach(traits)
         self.outliers.set_reach(self.loads.engines)
 
+    def set_nodes(self, nodes: int) -> None:
+        """Set the number of live nodes that share the engines, this one included."""
+        self._nodes = max(1, nodes)
+
     def set_states(self, states: dict[str, State]) -> None:
         """Replace the membership states of engines; missing ones are live."""
         self._states = dict(states)
@@ -92,6 +98,21 @@
         level = priority(prompt_tokens, remaining_s, prompt_tokens / rate, self._policy)
         return RouteRequest(request_id, prompt_tokens, max_tokens, remaining_s, level)
 
+    def needs_group(self, request: RouteRequest) -> bool:
+        """Return whether no engine in reach can hold the request alone.
+
+        A prompt that would take nearly all memory of an unreserved engine is also
+        divided, because nothing else could run beside it.
+        """
+        roles = self.separation.roles(self.loads.engines)
+        return all(
+            request.kv_tokens
+            > self.separation.long_memory_tokens(
+                self.loads.traits(name).kv_capacity_tokens, roles[name]
+            )
+            for name in self.loads.engines
+        )
+
     def route(
         self,
         request: RouteRequest,
@@ -125,6 +146,7 @@
         ejected = self.outliers.ejected
         roles = self.separation.roles(loads.engines)
         is_long = length_class(request.prompt_tokens, self._policy) == "long"
+        is_short = length_class(request.prompt_tokens, self._policy) == "short"
         result = []
         for name in loads.engines:
             traits = loads.traits(name)
@@ -136,6 +158,10 @@
                     traits.kv_capacity_tokens, roles[name]
                 )
                 free = min(free, bound - loads.long_tokens(name))
+            # What other nodes sent since the report may share a step with the request;
+            # an engine reserved for short prompts does not have this risk.
+            is_risky = is_short and "short" in roles.values() and roles[name] != "short"
+            is_shared = later > 0 or is_risky
             state = self._states.get(name, "live")
             if state in ("live", "suspect") and name in ejected:
                 state = "ejected"
@@ -148,7 +174,7 @@
                     rate,
                     min(cached.get(name, 0.0), request.prompt_tokens - 1.0),
                     loads.correction(name),
-                    self._policy.step_tokens / rate if later > 0 else 0.0,
+                    self._policy.step_tokens / rate if is_shared else 0.0,
                     later,
                     loads.age_s(name, now),
                     self.outliers.start_share(name, now),
@@ -201,5 +227,9 @@
 
     def tick(self, now: float) -> list[Ejected | Returned]:
         """Move roles and outliers; return the engines that changed."""
-        self.separation.tick(len(self.loads.engines), now)
+        names = self.loads.engines
+        rates = [self.loads.prefill_rate(name) for name in names]
+        if rates:
+            rate = sum(rates) / len(rates)
+            self.separation.tick(len(names), self._nodes, rate, now)
         return self.outliers.tick(now)
--- a/packages/dandelionpond/src/dandelionpond/routing/separation.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/separation.py
@@ -10,9 +10,9 @@
 URGENT_PRIORITY = 0
 _SHORT_PRIORITY = 1
 
-# Time constant of the demand average in seconds. Long prompts arrive seldom, so a
-# shorter average would see their demand vanish between two arrivals.
-_DEMAND_S = 60.0
+# Time constant of the demand average in seconds. A node sees few prompts each second,
+# so a shorter average would give each node another number of reserved engines.
+_DEMAND_S = 120.0
 # The asked number must differ by more than this from the number in force.
 _HYSTERESIS = 0.6
 
@@ -40,56 +40,91 @@
     return _SHORT_PRIORITY + 1 + round(steps * scale)
 
 
+class _Reservation:
+    """Move one number of reserved engines, with hysteresis."""
+
+    __slots__ = ("asked_since", "count")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.asked_since: float | None = None
+
+    def move(self, asked: float, bound: int, hold_s: float, now: float) -> None:
+        """Follow `asked` after it has differed from the count for `hold_s`."""
+        if abs(asked - self.count) <= _HYSTERESIS and self.count <= bound:
+            self.asked_since = None
+            return
+        if self.asked_since is None:
+            self.asked_since = now
+        if now - self.asked_since >= hold_s:
+            self.count = min(bound, math.ceil(asked - 0.2))
+            self.asked_since = None
+
+
 class Separation:
-    """Decide how many engines are reserved for long prompts.
+    """Decide how many engines are reserved for short prompts and for long ones.
 
     Engines are ranked by a hash of their names, so nodes that see different demand
-    still reserve nested sets.
+    still reserve nested sets: from one end for long prompts, from the other for short.
     """
 
-    __slots__ = ("_asked_since", "_at", "_long", "_policy", "_reserved", "_total")
+    __slots__ = ("_at", "_demand", "_long", "_policy", "_short", "_started")
 
     def __init__(self, policy: RoutingSettings) -> None:
         self._policy = policy
-        self._long = 0.0
-        self._total = 0.0
+        self._demand = {"short": 0.0, "mid": 0.0, "long": 0.0}
         self._at = -math.inf
-        self._reserved = 0
-        self._asked_since: float | None = None
+        self._started = math.inf
+        self._long = _Reservation()
+        self._short = _Reservation()
 
     @property
-    def reserved(self) -> int:
+    def reserved_long(self) -> int:
         """Return the number of engines reserved for long prompts."""
-        return self._reserved
+        return self._long.count
+
+    @property
+    def reserved_short(self) -> int:
+        """Return the number of engines reserved for short prompts."""
+        return self._short.count
 
     def arrived(self, prompt_tokens: int, uncached_tokens: float, now: float) -> None:
-        """Record demand in uncached tokens."""
+        """Record demand at this node in uncached tokens."""
         self._decay(now)
-        self._total += uncached_tokens
-        if length_class(prompt_tokens, self._policy) == "long":
-            self._long += uncached_tokens
+        self._demand[length_class(prompt_tokens, self._policy)] += uncached_tokens
 
-    def tick(self, engines: int, now: float) -> None:
-        """Move the number of reserved engines after demand asked for `role_hold_s`."""
+    def tick(
+        self, engines: int, nodes: int, prefill_tokens_per_s: float, now: float
+    ) -> None:
+        """Move the numbers of reserved engines after lasting demand.
+
+        The demand of the `nodes` that share the engines is taken to equal this node's.
+        It is compared with the prefill rate of one engine.
+        """
         self._decay(now)
-        asked = self._asked(engines)
-        bound = int(self._policy.max_reserved_share * engines)
-        if abs(asked - self._reserved) <= _HYSTERESIS and self._reserved <= bound:
-            self._asked_since = None
+        period = min(_DEMAND_S, now - self._started)
+        if period <= 0.0 or engines <= 0:
             return
-        if self._asked_since is None:
-            self._asked_since = now
-        if now - self._asked_since >= self._policy.role_hold_s:
-            self._reserved = min(bound, round(asked))
-            self._asked_since = None
+        policy = self._policy
+        bound = int(policy.max_reserved_share * engines)
+        per_token = nodes / (period * prefill_tokens_per_s)
+        asked = policy.reserve_short * self._demand["short"] * per_token
+        self._short.move(min(bound, asked), bound, policy.role_hold_s, now)
+        bound = max(0, bound - self._short.count)
+        asked = policy.reserve_long * self._demand["long"] * per_token
+        self._long.move(min(bound, asked), bound, policy.role_hold_s, now)
 
     def roles(self, engines: tuple[str, ...]) -> dict[str, Role]:
         """Return the role of each engine."""
         ranked = sorted(engines, key=lambda name: (score("long", name), name))
-        return {
-            name: "long" if index < self._reserved else "general"
-            for index, name in enumerate(ranked)
-        }
+        first_short = len(ranked) - self._short.count
+        roles: dict[str, Role] = {}
+        for index, name in enumerate(ranked):
+            if index < self._long.count:
+                roles[name] = "long"
+            else:
+                roles[name] = "short" if index >= first_short else "general"
+        return roles
 
     def long_memory_tokens(self, capacity_tokens: int, role: Role) -> float:
         """Return the memory of an engine that long prompts may fill, in tokens."""
@@ -97,18 +132,10 @@
             return float(capacity_tokens)
         return capacity_tokens * self._policy.long_memory_share
 
-    def _asked(self, engines: int) -> float:
-        if self._total <= 0.0 or self._policy.short_weight <= 0.0:
-            return 0.0
-        share = self._long / self._total
-        return min(
-            self._policy.max_reserved_share * engines,
-            share * engines * self._policy.short_weight,
-        )
-
     def _decay(self, now: float) -> None:
         if self._at > -math.inf:
             factor = math.exp(-max(0.0, now - self._at) / _DEMAND_S)
-            self._long *= factor
-            self._total *= factor
+            for name in self._demand:
+                self._demand[name] *= factor
+        self._started = min(self._started, now)
         self._at = now
--- a/packages/dandelionpond/src/dandelionpond/routing/settings.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/settings.py
@@ -12,9 +12,11 @@
     estimate a candidate may be and still be drawn. `max_prefix_blocks` bounds the
     prefix map. `long_memory_share` is the largest part of an unreserved engine's memory
     that long prompts may fill. `role_hold_s` is the time for which demand must ask for
-    another number of reserved engines before it is changed. `step_tokens` is the most
-    prefill an engine puts into one step. `impact_weight` weighs the delay that a prompt
-    causes to less urgent ones against its own time to first token.
+    another number of reserved engines before it is changed. `reserve_short` and
+    `reserve_long` are the engines reserved for each engine's worth of demand.
+    `step_tokens` is the most prefill an engine puts into one step. `impact_weight`
+    weighs the delay that a prompt causes to less urgent ones against its own time to
+    first token.
     """
 
     short_weight: float = 0.5
@@ -33,6 +35,8 @@
     long_memory_share: float = 0.8
     max_reserved_share: float = 0.5
     role_hold_s: float = 20.0
+    reserve_short: float = 5.0
+    reserve_long: float = 0.0
     max_sends: int = 8_000
     step_tokens: int = 2_048
     impact_weight: float = 3.0
