--- a/packages/dandelionpond/src/dandelionpond/routing/load.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/load.py
@@ -150,7 +150,11 @@
         observed = max(1e-4, now - send.at)
         engine = self._engines[send.engine]
         ratio = observed / max(1e-4, send.predicted_s)
-        if send.alone and send.uncached >= self._policy.short_prompt_tokens:
+        # Part of a step delays a short prompt by more than its own prefill; a factor
+        # learned from that would be far too large for a long prompt.
+        if send.uncached < self._policy.short_prompt_tokens:
+            return ratio
+        if send.alone:
             rate = send.uncached / observed / engine.traits.prefill_tokens_per_s
             engine.scale = _learn(engine.scale, rate, _RATE_RANGE)
         else:
--- a/packages/dandelionpond/src/dandelionpond/routing/tests/test_load.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/tests/test_load.py
@@ -69,8 +69,9 @@
             loads.first_token(f"x{index}", 10.0 * index + 2.0)
             loads.finished(f"x{index}", 10.0 * index + 2.0)
         assert loads.prefill_rate("a") == pytest.approx(10_000.0, rel=0.05)
+        loads.sent("first", "b", 100_000, 100_000, 1, 5.0, now=0.0)
         for index in range(100):
-            loads.sent(f"y{index}", "b", 100, 100, 1, 0.001, now=10.0 * index)
+            loads.sent(f"y{index}", "b", 4_000, 4_000, 1, 0.001, now=10.0 * index)
             loads.first_token(f"y{index}", 10.0 * index + 5.0)
         assert 3.99 < loads.correction("b") <= 4.0
 
