Keep reservations while engines are only full for now, learn slow rates slowly

A prompt of middle length took an engine reserved for short prompts whenever the windows of all others were closed. Reports lag, so another node's work made an engine look slow and the learned rate fell to 12,000 of 18,500 tokens/s; the rate now falls at 0.03 of the difference for each observation and rises at 0.1.

--- a/packages/dandelionpond/src/dandelionpond/routing/choice.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/choice.py
@@ -32,6 +32,10 @@
 ]
 
 
+# Reasons that end by themselves while a request waits.
+_PASSING: tuple[Reason, ...] = ("window_full", "insufficient_memory")
+
+
 class RouteRequest(msgspec.Struct, frozen=True):
     """Describe what is routed: token counts, time left in seconds, and urgency.
 
@@ -201,7 +205,7 @@
         refused[candidate.engine] = "over_candidate_limit"
     for candidate in candidates[:MAX_CANDIDATES]:
         reason = _hard_reason(request, candidate)
-        if reason in ("window_full", "insufficient_memory"):
+        if reason in _PASSING:
             blocked_s = min(blocked_s, estimate_ttft(request, candidate))
         if reason is None and estimate_ttft(request, candidate) > request.remaining_s:
             reason = "deadline"
@@ -215,6 +219,9 @@
             doubtful.append(candidate)
         else:
             clear.append(candidate)
+    if any(reason in _PASSING for reason in refused.values()):
+        # Waiting for an engine is better than breaking a reservation.
+        doubtful = [one for one in doubtful if refused[one.engine] != "reserved"]
     usable = clear or doubtful
     if not usable:
         return RouteChoice(None, blocked_s, _as_tuple(refused))
--- a/packages/dandelionpond/src/dandelionpond/routing/load.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/load.py
@@ -8,6 +8,8 @@
 
 # One observation moves a learned value by a tenth, so one odd answer changes little.
 _LEARNING_RATE = 0.1
+# Work of other nodes that no report shows yet makes an engine look slow, never fast.
+_SLOWER_RATE = 0.03
 _CORRECTION_RANGE = (0.5, 4.0)
 _RATE_RANGE = (0.1, 4.0)
 
@@ -156,7 +158,7 @@
             return ratio
         if send.alone:
             rate = send.uncached / observed / engine.traits.prefill_tokens_per_s
-            engine.scale = _learn(engine.scale, rate, _RATE_RANGE)
+            engine.scale = _learn(engine.scale, rate, _RATE_RANGE, _SLOWER_RATE)
         else:
             engine.correction = _learn(
                 engine.correction, engine.correction * ratio, _CORRECTION_RANGE
@@ -261,9 +263,15 @@
         return sum(send.kv_tokens for send in sends if send.is_long)
 
 
-def _learn(old: float, seen: float, bounds: tuple[float, float]) -> float:
+def _learn(
+    old: float,
+    seen: float,
+    bounds: tuple[float, float],
+    down: float = _LEARNING_RATE,
+) -> float:
     """Move a learned factor toward an observation, on a logarithmic scale."""
     low, high = bounds
     seen = min(high, max(low, seen))
-    step = _LEARNING_RATE * (math.log(seen) - math.log(old))
+    factor = _LEARNING_RATE if seen > old else down
+    step = factor * (math.log(seen) - math.log(old))
     return min(high, max(low, math.exp(math.log(old) + step)))
