--- a/packages/dandelionpond/src/dandelionpond/routing/choice.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/choice.py
@@ -64,7 +64,8 @@
     `later_tokens` is less urgent prefill that the request would delay; `delay_s` is
     the time that a step shared with it takes longer.
     `start_share` grows from 0 to 1 during slow start. `window_open` is false when the
-    node's concurrency limit toward the engine is reached.
+    node's concurrency limit toward the engine is reached. `is_home` marks the engines
+    that this node prefers among equals and other nodes avoid.
     """
 
     engine: str
@@ -81,6 +82,7 @@
     state: State = "live"
     role: Role = "general"
     window_open: bool = True
+    is_home: bool = False
 
 
 class RefusedCandidate(msgspec.Struct, frozen=True):
@@ -236,6 +238,8 @@
         near = cost <= limit
         refused[candidate.engine] = "not_drawn" if near else "slower"
         share = max(_MIN_START_SHARE, candidate.start_share)
+        if candidate.is_home:
+            share *= policy.home_weight
         weights.append(share * (best + 1e-6) / (cost + 1e-6) if near else 0.0)
     drawn = source.choices(range(len(sample)), weights)[0]
     del refused[sample[drawn].engine]
--- a/packages/dandelionpond/src/dandelionpond/routing/router.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/router.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from dandelionpond.hashing import owner
 from dandelionpond.routing.choice import (
     Candidate,
     RouteChoice,
@@ -38,6 +39,7 @@
     """
 
     __slots__ = (
+        "_homes",
         "_is_open",
         "_nodes",
         "_policy",
@@ -60,6 +62,7 @@
         self._is_open = is_open
         self._states: dict[str, State] = {}
         self._nodes = 1
+        self._homes: frozenset[str] = frozenset()
         self.loads = LoadBook(policy)
         self.outliers = Outliers(policy)
         self.prefixes = PrefixMap(policy)
@@ -73,9 +76,15 @@
         self.loads.set_reach(traits)
         self.outliers.set_reach(self.loads.engines)
 
-    def set_nodes(self, nodes: int) -> None:
-        """Set the number of live nodes that share the engines, this one included."""
-        self._nodes = max(1, nodes)
+    def set_nodes(self, node: str, nodes: tuple[str, ...]) -> None:
+        """Set this node's name and the live nodes that share the engines.
+
+        Each engine is the home of one node by rendezvous hashing.
+        """
+        self._nodes = max(1, len(nodes))
+        self._homes = frozenset(
+            name for name in self.loads.engines if owner(name, nodes) == node
+        )
 
     def set_states(self, states: dict[str, State]) -> None:
         """Replace the membership states of engines; missing ones are live."""
@@ -181,6 +190,7 @@
                     state,
                     roles[name],
                     self._is_open(queue, rate, waited_s),
+                    name in self._homes,
                 )
             )
         return tuple(result)
--- a/packages/dandelionpond/src/dandelionpond/routing/settings.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/settings.py
@@ -16,7 +16,8 @@
     `reserve_long` are the engines reserved for each engine's worth of demand.
     `step_tokens` is the most prefill an engine puts into one step. `impact_weight`
     weighs the delay that a prompt causes to less urgent ones against its own time to
-    first token.
+    first token. `home_weight` is how much more often a node draws its home engines
+    than others with a nearly equal estimate.
     """
 
     short_weight: float = 0.5
@@ -40,3 +41,4 @@
     max_sends: int = 8_000
     step_tokens: int = 2_048
     impact_weight: float = 3.0
+    home_weight: float = 8.0
--- a/packages/standins/src/dandelionpond_standins/bench/ours.py
+++ b/packages/standins/src/dandelionpond_standins/bench/ours.py
@@ -25,7 +25,12 @@
     """Own the slices of one node."""
 
     def __init__(
-        self, fleet: Fleet, routing: RoutingSettings, limits: LimitsSettings, seed: int
+        self,
+        fleet: Fleet,
+        routing: RoutingSettings,
+        limits: LimitsSettings,
+        seed: int,
+        index: int,
     ) -> None:
         self.windows = EngineWindows(limits)
         self.router = Router(routing, random.Random(seed), self.windows.is_open)
@@ -36,7 +41,9 @@
                 EngineTraits(spec.kv_capacity_tokens, spec.prefill_tokens_per_s, 1_000),
             )
         )
-        self.router.set_nodes(NODES)
+        self.router.set_nodes(
+            f"node-{index}", tuple(f"node-{one}" for one in range(NODES))
+        )
         self.queue = FairQueue(limits, routing)
         rate = spec.prefill_tokens_per_s * len(fleet.engines) / NODES
         self.admission = Admission(limits, rate)
@@ -61,7 +68,8 @@
     ) -> None:
         self._fleet = fleet
         self._nodes = [
-            _Node(fleet, routing, limits, seed * 100 + index) for index in range(NODES)
+            _Node(fleet, routing, limits, seed * 100 + index, index)
+            for index in range(NODES)
         ]
 
     def arrive(self, arrival: Arrival, now: float) -> None:
