--- a/packages/dandelionpond/src/dandelionpond/routing/settings.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/settings.py
@@ -12,9 +12,14 @@
     estimate a candidate may be and still be drawn. `max_prefix_blocks` bounds the
     prefix map. `long_memory_share` is the largest part of an unreserved engine's memory
     that long prompts may fill. `role_hold_s` is the time for which demand must ask for
-    another number of reserved engines before it is changed. `step_tokens` is the most
-    prefill an engine puts into one step. `impact_weight` weighs the delay that a prompt
-    causes to less urgent ones against its own time to first token.
+    another number of reserved engines before it is changed. `reserve_short` and
+    `reserve_long` are the engines reserved for each engine's worth of demand.
+    `step_tokens` is the most prefill an engine puts into one step. `impact_weight`
+    weighs the delay that a prompt causes to less urgent ones against its own time to
+    first token. `home_weight` is how much more often a node draws its home engines
+    than others with a nearly equal estimate. Each engine in reach is asked for its load
+    every `load_interval_s`, or less often so that a node asks at most
+    `load_polls_per_s` times a second in all.
     """
 
     short_weight: float = 0.5
@@ -28,11 +33,16 @@
     ejection_s: float = 10.0
     slow_start_s: float = 10.0
     report_stale_s: float = 5.0
+    load_interval_s: float = 0.5
+    load_polls_per_s: float = 16.0
     prefix_block_tokens: int = 256
     max_prefix_blocks: int = 100_000
     long_memory_share: float = 0.8
     max_reserved_share: float = 0.5
     role_hold_s: float = 20.0
+    reserve_short: float = 5.0
+    reserve_long: float = 0.0
     max_sends: int = 8_000
     step_tokens: int = 2_048
     impact_weight: float = 3.0
+    home_weight: float = 8.0
