--- a/packages/dandelionpond/src/dandelionpond/routing/choice.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/choice.py
@@ -32,6 +32,10 @@
 ]
 
 
+# Reasons that end by themselves while a request waits.
+_PASSING: tuple[Reason, ...] = ("window_full", "insufficient_memory")
+
+
 class RouteRequest(msgspec.Struct, frozen=True):
     """Describe what is routed: token counts, time left in seconds, and urgency.
 
@@ -60,7 +64,8 @@
     `later_tokens` is less urgent prefill that the request would delay; `delay_s` is
     the time that a step shared with it takes longer.
     `start_share` grows from 0 to 1 during slow start. `window_open` is false when the
-    node's concurrency limit toward the engine is reached.
+    node's concurrency limit toward the engine is reached. `is_home` marks the engines
+    that this node prefers among equals and other nodes avoid.
     """
 
     engine: str
@@ -77,6 +82,7 @@
     state: State = "live"
     role: Role = "general"
     window_open: bool = True
+    is_home: bool = False
 
 
 class RefusedCandidate(msgspec.Struct, frozen=True):
@@ -129,8 +135,7 @@
 
 
 def _is_reserved(request: RouteRequest, role: Role, policy: RoutingSettings) -> bool:
-    is_long = length_class(request.prompt_tokens, policy) == "long"
-    return (role == "long" and not is_long) or (role == "short" and is_long)
+    return role != "general" and role != length_class(request.prompt_tokens, policy)
 
 
 def _hard_reason(request: RouteRequest, candidate: Candidate) -> Reason | None:
@@ -161,7 +166,10 @@
 def _sample(
     usable: list[Candidate], policy: RoutingSettings, source: random.Random
 ) -> list[Candidate]:
-    """Draw up to `choices` candidates; slow-starting ones are drawn less often."""
+    """Draw up to `choices` candidates, those reserved for the request's length first.
+
+    Slow-starting ones are drawn less often.
+    """
     started = [
         candidate
         for candidate in usable
@@ -169,7 +177,12 @@
         or source.random() < max(_MIN_START_SHARE, candidate.start_share)
     ]
     pool = started or usable
-    return source.sample(pool, min(max(1, policy.choices), len(pool)))
+    reserved = [candidate for candidate in pool if candidate.role != "general"]
+    others = [candidate for candidate in pool if candidate.role == "general"]
+    count = max(1, policy.choices) - len(reserved)
+    if count <= 0:
+        return source.sample(reserved, max(1, policy.choices))
+    return reserved + source.sample(others, min(count, len(others)))
 
 
 def choose(
@@ -194,7 +207,7 @@
         refused[candidate.engine] = "over_candidate_limit"
     for candidate in candidates[:MAX_CANDIDATES]:
         reason = _hard_reason(request, candidate)
-        if reason in ("window_full", "insufficient_memory"):
+        if reason in _PASSING:
             blocked_s = min(blocked_s, estimate_ttft(request, candidate))
         if reason is None and estimate_ttft(request, candidate) > request.remaining_s:
             reason = "deadline"
@@ -208,6 +221,9 @@
             doubtful.append(candidate)
         else:
             clear.append(candidate)
+    if any(reason in _PASSING for reason in refused.values()):
+        # Waiting for an engine is better than breaking a reservation.
+        doubtful = [one for one in doubtful if refused[one.engine] != "reserved"]
     usable = clear or doubtful
     if not usable:
         return RouteChoice(None, blocked_s, _as_tuple(refused))
@@ -222,6 +238,8 @@
         near = cost <= limit
         refused[candidate.engine] = "not_drawn" if near else "slower"
         share = max(_MIN_START_SHARE, candidate.start_share)
+        if candidate.is_home:
+            share *= policy.home_weight
         weights.append(share * (best + 1e-6) / (cost + 1e-6) if near else 0.0)
     drawn = source.choices(range(len(sample)), weights)[0]
     del refused[sample[drawn].engine]
@@ -242,7 +260,7 @@
     usable = [
         candidate
         for candidate in candidates[:MAX_CANDIDATES]
-        if candidate.state in ("live", "suspect")
+        if candidate.state in ("live", "suspect") and candidate.role != "short"
     ]
     for count in range(min_engines, len(usable) + 1):
         part = request.kv_tokens / count
--- a/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
@@ -147,6 +147,10 @@
         rate = sum(engine.prefill_tokens_per_s for engine in self._engines.values())
         self.admission.configure(settings.limits, rate)
 
+    def set_nodes(self, nodes: tuple[str, ...]) -> None:
+        """Take the live nodes that share the engines, this one included."""
+        self.router.set_nodes(self._node, nodes)
+
     def arrive(self, work: Work, now: float) -> list[DispatchAction]:
         """Take a prompt and return what to do with it and with others."""
         checked = self._check(work, now)
@@ -285,9 +289,12 @@
         if not serving:
             message = f"no engine in reach serves model {work.model!r}"
             return Error(Failure(ErrorKind.NO_UPSTREAM, message, _DEFAULT_RETRY_S))
-        largest = max(self._engines[name].kv_capacity_tokens for name in serving)
+        request = self.router.request(
+            work.request_id, work.prompt_tokens, work.max_tokens, work.deadline - now
+        )
         total = sum(self._engines[name].kv_capacity_tokens for name in serving)
-        if work.kv_tokens > largest and work.kv_tokens > total:
+        is_few = len(serving) < self._settings.memory.min_group_engines
+        if self.router.needs_group(request) and (is_few or work.kv_tokens > total):
             message = "the engines in reach have too little memory for this prompt"
             return Error(
                 Failure(ErrorKind.INSUFFICIENT_MEMORY, message, _DEFAULT_RETRY_S)
@@ -330,7 +337,7 @@
         )
         waited = now - item.enqueued_at
         candidates = self._candidates(work, request, waited, now)
-        if all(work.kv_tokens > one.capacity_tokens for one in candidates):
+        if self.router.needs_group(request):
             return self._fits_group(work, request, candidates)
         policy = self._settings.routing
         made = RouteInput(request, candidates, policy, self._random.getrandbits(32))
--- a/packages/dandelionpond/src/dandelionpond/runtime/engines.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/engines.py
@@ -26,10 +26,12 @@
 
 log = logging.getLogger("dandelionpond.engines")
 
-TICK_S = 0.05
+# Placement follows arrivals and ends at once; the tick only expires and learns.
+TICK_S = 0.1
+MEMBERS_INTERVAL_S = 1.0
 CALL_TIMEOUT_S = 2.0
-LOAD_INTERVAL_S = 0.5
-EVENTS_INTERVAL_S = 2.0
+# Cache events are asked for once in this many load reports.
+LOADS_PER_EVENTS = 4
 # Load reports that fail this often in a row raise a suspicion of the engine.
 FAILURES_TO_SUSPECT = 3
 
@@ -47,6 +49,7 @@
         self._urls: dict[str, str] = {}
         self._polls: dict[str, asyncio.Task[None]] = {}
         self._waiting: dict[str, asyncio.Future[Placement]] = {}
+        self._nodes: tuple[str, ...] = ()
         self._poll_failures: dict[str, int] = {}
         self.leases = LeaseRunner(core, gossip, self.client)
         self.dispatcher = Dispatcher(core.local.name, core.settings, core.random)
@@ -56,6 +59,9 @@
     def start(self) -> None:
         """Start the timers."""
         self._core.tasks.every(lambda: TICK_S, self._tick, "dispatch")
+        self._core.tasks.every(
+            lambda: MEMBERS_INTERVAL_S, self._update_members, "dispatch-members"
+        )
         self.leases.start()
 
     async def close(self) -> None:
@@ -180,18 +186,22 @@
     async def _poll(self, engine: str) -> None:
         """Ask an engine for its load and cache events until it is out of reach."""
         # A random start keeps nodes that start together from asking together.
-        await asyncio.sleep(LOAD_INTERVAL_S * self._core.random.random())
-        next_events, from_seq = 0.0, 0
+        await asyncio.sleep(self._poll_interval_s() * self._core.random.random())
+        asked, from_seq = 0, 0
         while True:
             client = self._clients.get(engine)
             if client is not None:
                 await self._ask_load(engine, client)
-                if self._core.now() >= next_events:
+                if asked % LOADS_PER_EVENTS == 0:
                     from_seq = await self._ask_events(engine, client, from_seq)
-                    next_events = self._core.now() + EVENTS_INTERVAL_S
-            await asyncio.sleep(
-                LOAD_INTERVAL_S * (0.75 + self._core.random.random() / 2)
-            )
+                asked += 1
+            jitter = 0.75 + self._core.random.random() / 2
+            await asyncio.sleep(self._poll_interval_s() * jitter)
+
+    def _poll_interval_s(self) -> float:
+        routing = self._core.settings.routing
+        spread = len(self._polls) / routing.load_polls_per_s
+        return max(routing.load_interval_s, spread)
 
     async def _ask_load(self, engine: str, client: EngineClient) -> None:
         result = await client.load(CALL_TIMEOUT_S)
@@ -230,6 +240,12 @@
             from_seq = max(from_seq, event.seq + 1)
         return from_seq
 
+    async def _update_members(self) -> None:
+        nodes = tuple(sorted({*self._gossip.region_nodes(), self._core.local.name}))
+        if nodes != self._nodes:
+            self._nodes = nodes
+            self.dispatcher.set_nodes(nodes)
+
     async def _tick(self) -> None:
         actions, changes = self.dispatcher.tick(self._core.now())
         for change in changes:
--- a/packages/dandelionpond/src/dandelionpond/runtime/gossip.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/gossip.py
@@ -121,6 +121,17 @@
             return now, nodes
         return None
 
+    def region_nodes(self) -> list[str]:
+        """Return the live nodes of this node's region, without this node."""
+        domains = self._core.settings.failure_domains
+        region = self._core.region
+        return [
+            name
+            for domain, value in domains.items()
+            if value.region == region
+            for name in self.membership.names(domain)
+        ]
+
     def announce(self, revision: int, digest: str) -> None:
         """Tell peers of a new settings revision at once."""
         self.membership.settings_changed(revision, digest, self._core.now())
