--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/explain.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/explain.py
@@ -16,7 +16,7 @@
 from dandelionpond_ctl.user_settings import wants_json
 
 
-class Attempt(msgspec.Struct, frozen=True):
+class Choice(msgspec.Struct, frozen=True):
     """Hold one choice of an engine for the request.
 
     `at` is in seconds since the Unix epoch by the node's clock, `estimate_s` the
@@ -49,10 +49,12 @@
     options: NodeOptions = DEFAULT_OPTIONS,
     json: bool | None = None,
 ) -> int:
-    """Show why a request went to its engine, which were refused, and each attempt.
+    """Show each choice of an engine for a request, its time, and who was refused why.
 
-    The identifier is that of the header `X-Request-Id` and of the error body. Only
-    placed prompts are recorded, and each node keeps only its latest records.
+    The identifier is that of the header `X-Request-Id` and of the error body. A node
+    records the placement of a prompt on one engine, and only the latest ones. It does
+    not record tries after the first, prompts on a group of engines, refused requests
+    and plain calls.
 
     Parameters
     ----------
@@ -63,32 +65,32 @@
     """
     replies = run(_ask(options, request_id))
     errors = {reply.node: reply.error for reply in replies if reply.error is not None}
-    attempts: list[Attempt] = []
+    choices: list[Choice] = []
     for reply in replies:
         if reply.error is None:
-            found, unreadable = node_attempts(reply, request_id)
-            attempts += found
+            found, unreadable = node_choices(reply, request_id)
+            choices += found
             if unreadable:
                 errors[reply.node] = unreadable[0]
-    attempts.sort(key=lambda one: (one.at, one.node, one.seq))
+    choices.sort(key=lambda one: (one.at, one.node, one.seq))
     if wants_json(json):
-        print_json({"request_id": request_id, "attempts": attempts, "errors": errors})
+        print_json({"request_id": request_id, "choices": choices, "errors": errors})
     else:
-        for number, attempt in enumerate(attempts, 1):
-            _print(number, attempt, attempts[0].at)
+        for number, choice in enumerate(choices, 1):
+            _print(number, choice, choices[0].at)
         for node, error in errors.items():
             print(f"dandelionpondctl: {node}: {error}", file=sys.stderr)
-    if not attempts:
+    if not choices:
         raise CommandError(f"no node that answered has a record of {request_id}")
     return FINDINGS if errors else OK
 
 
-def node_attempts(reply: Reply, request_id: str) -> tuple[list[Attempt], list[str]]:
-    """Return the attempts of exactly this request and the records that are unreadable.
+def node_choices(reply: Reply, request_id: str) -> tuple[list[Choice], list[str]]:
+    """Return the choices of exactly this request and the records that are unreadable.
 
     A record of another version may have another form.
     """
-    attempts, unreadable = [], []
+    choices, unreadable = [], []
     for record in reply.value.records:
         if (record.slice, record.decision) != (ROUTE.slice, ROUTE.name):
             continue
@@ -101,8 +103,8 @@
             continue
         # The node finds records by text, so a longer identifier matches as well.
         if data.request.request_id == request_id:
-            attempts.append(_attempt(reply.node, record, data, choice))
-    return attempts, unreadable
+            choices.append(_choice(reply.node, record, data, choice))
+    return choices, unreadable
 
 
 async def _ask(options: NodeOptions, request_id: str) -> list[Reply]:
@@ -115,11 +117,11 @@
         return await nodes.all(one, "asking for the request")
 
 
-def _attempt(
+def _choice(
     node: str, record: DecisionRecord, data: RouteInput, choice: RouteChoice
-) -> Attempt:
+) -> Choice:
     chosen = next((c for c in data.candidates if c.engine == choice.engine), None)
-    return Attempt(
+    return Choice(
         record.at,
         node,
         record.seq,
@@ -136,9 +138,9 @@
     )
 
 
-def _print(number: int, one: Attempt, start: float) -> None:
+def _print(number: int, one: Choice, start: float) -> None:
     when = datetime.fromtimestamp(one.at, UTC).isoformat(timespec="milliseconds")
-    print(f"attempt {number}: {when} (+{one.at - start:.3f} s) on {one.node}")
+    print(f"choice {number}: {when} (+{one.at - start:.3f} s) on {one.node}")
     if one.engine is None:
         print("  no engine fits")
     else:
--- a/packages/dandelionpond-ctl/tests/test_commands.py
+++ b/packages/dandelionpond-ctl/tests/test_commands.py
@@ -244,21 +244,21 @@
 
 
 class TestExplain:
-    def test_attempts_of_exactly_one_request(self, fleet, capsys):
-        """Guard against attempts of another request or in a wrong order."""
+    def test_choices_of_exactly_one_request(self, fleet, capsys):
+        """Guard against choices of another request or in a wrong order."""
         first, second = fleet.node("n1"), fleet.node("n2")
         second.route("req-1", 20.0)
         first.route("req-1", 21.5)
         first.route("req-12", 22.0)
         words = ["explain", "req-1", "--node", first.url, "--node", second.url]
         assert run([*words, "--json"]) == 0
-        attempts = json.loads(capsys.readouterr().out)["attempts"]
-        assert [one["node"] for one in attempts] == [second.url, first.url]
-        assert attempts[0]["engine"] == "e1"
-        assert attempts[0]["refused"] == [{"engine": "e2", "reason": "leaving"}]
+        choices = json.loads(capsys.readouterr().out)["choices"]
+        assert [one["node"] for one in choices] == [second.url, first.url]
+        assert choices[0]["engine"] == "e1"
+        assert choices[0]["refused"] == [{"engine": "e2", "reason": "leaving"}]
         assert run(words) == 0
         out = capsys.readouterr().out
-        assert "attempt 2: 1970-01-01T00:00:21.500+00:00 (+1.500 s)" in out
+        assert "choice 2: 1970-01-01T00:00:21.500+00:00 (+1.500 s)" in out
         assert "leaving" in out
 
     def test_unknown_request(self, fleet, capsys):
--- a/packages/standins/src/dandelionpond_standins/reference_settings.py
+++ b/packages/standins/src/dandelionpond_standins/reference_settings.py
@@ -111,6 +111,8 @@
     "routing.step_tokens": "most prefill that an engine puts into one step",
     "routing.impact_weight": "weight of the delay that a prompt causes to less urgent "
     "ones against its own time to first token",
+    "routing.load_interval_s": "shortest time between two questions for the load of an "
+    "engine",
     "requests.default_timeout_s": "deadline without `X-Request-Timeout-Ms`",
     "requests.max_timeout_s": "longest deadline that a caller gets",
     "requests.max_body_bytes": "largest request body",
