--- a/packages/standins/src/dandelionpond_standins/reference.py
+++ b/packages/standins/src/dandelionpond_standins/reference.py
@@ -3,6 +3,7 @@
 `python -m dandelionpond_standins.reference` writes docs/reference.md.
 """
 
+import re
 import sys
 from collections.abc import Iterable, Iterator, Mapping
 from importlib import resources
@@ -52,13 +53,23 @@
     type: str
     unit: str
     default: str
+    documentation: str = ""
 
 
 def settings_of(struct: Any, prefix: str = "") -> Iterator[Setting]:
     """Yield every setting of a struct; `*` stands for a name chosen by operators."""
     info = msgspec.inspect.type_info(struct)
     for field in info.fields:  # type: ignore[union-attr]
-        yield from _leaves(field.type, prefix + field.name, _default(field))
+        default, text = _default(field), _sentence(struct, field.name)
+        yield from _leaves(field.type, prefix + field.name, default, text)
+
+
+def meaning(setting: Setting, texts: Mapping[str, str]) -> str:
+    """Return the text of a setting, else what its struct's docstring says of it.
+
+    Raises `KeyError` with the path if neither exists.
+    """
+    return texts.get(setting.path) or setting.documentation or texts[setting.path]
 
 
 def metric_rows() -> list[tuple[str, str, str, str]]:
@@ -180,7 +191,7 @@
 
 def _settings_table(rows: Iterable[Setting], texts: Mapping[str, str]) -> str:
     cells = [
-        (_code(one.path), one.type, one.unit, one.default, texts[one.path])
+        (_code(one.path), one.type, one.unit, one.default, meaning(one, texts))
         for one in rows
     ]
     return _table(("setting", "type", "unit", "default", "meaning"), cells)
@@ -207,7 +218,9 @@
     )
 
 
-def _leaves(kind: Any, path: str, default: str) -> Iterator[Setting]:
+def _leaves(
+    kind: Any, path: str, default: str, documentation: str = ""
+) -> Iterator[Setting]:
     inspect = msgspec.inspect
     match kind:
         case inspect.StructType(cls=cls):
@@ -225,7 +238,15 @@
                     found.setdefault(setting.path, setting)
             yield from found.values()
         case _:
-            yield Setting(path, _type(kind), _unit(path), default)
+            yield Setting(path, _type(kind), _unit(path), default, documentation)
+
+
+def _sentence(struct: Any, name: str) -> str:
+    """Return the first sentence of a docstring that names a field."""
+    text = " ".join((struct.__doc__ or "").split())
+    sentences = re.split(r"(?<=[.;]) ", text)
+    found = (one for one in sentences if f"`{name}`" in one)
+    return next(found, "").rstrip(".;")
 
 
 def _type(kind: Any) -> str:
