--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/explain.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/explain.py
@@ -7,9 +7,10 @@
 
 import msgspec
 
-from dandelionpond.decisions import ROUTE, RouteInput
+from dandelionpond.decisions import ROUTE
 from dandelionpond.record.recorder import DecisionRecord
 from dandelionpond.routing.choice import RefusedCandidate, RouteChoice
+from dandelionpond.routing.router import RouteInput
 from dandelionpond_ctl.exit_codes import FINDINGS, OK
 from dandelionpond_ctl.folder import CommandError, print_json, print_table
 from dandelionpond_ctl.nodes import DEFAULT_OPTIONS, NodeOptions, Reply, connect, run
--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/nodes.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/nodes.py
@@ -99,11 +99,11 @@
         """Return a part of the nodes with the same session."""
         return Nodes(urls, self._session, self._timeout_s, self._max_parallel)
 
-    async def get(self, url: str, path: str, type: type[Any]) -> Any:
+    async def get(self, url: str, path: str, type: type[Answer]) -> Answer:
         """Return a node's answer as a value of `type`; raises `NodeError`."""
         return await self._json("GET", url, path, type)
 
-    async def post(self, url: str, path: str, type: type[Any]) -> Any:
+    async def post(self, url: str, path: str, type: type[Answer]) -> Answer:
         """Send an empty POST and return the answer; raises `NodeError`."""
         return await self._json("POST", url, path, type)
 
@@ -148,8 +148,8 @@
         with Bar(text, len(tasks)) as bar:
             shower = asyncio.create_task(_show(bar))
             try:
-                for task in asyncio.as_completed(tasks):
-                    reply = await task
+                for done in asyncio.as_completed(tasks):
+                    reply = await done
                     bar.advance()
                     yield reply
             finally:
@@ -163,7 +163,9 @@
         replies = {reply.node: reply async for reply in self.each(ask, text)}
         return [replies[url] for url in self._urls]
 
-    async def _json(self, method: str, url: str, path: str, type: type[Any]) -> Any:
+    async def _json(
+        self, method: str, url: str, path: str, type: type[Answer]
+    ) -> Answer:
         limit = aiohttp.ClientTimeout(total=self._timeout_s)
         try:
             async with self._open(method, url, path, limit) as response:
--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/status.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/status.py
@@ -15,6 +15,19 @@
 from dandelionpond_ctl.user_settings import wants_json
 
 DIGEST_CHARS = 12
+COLUMNS = (
+    "node",
+    "domain",
+    "phase",
+    "ready",
+    "revision",
+    "digest",
+    "reader",
+    "peers",
+    "prompts",
+    "calls",
+    "queued",
+)
 
 
 class Finding(msgspec.Struct, frozen=True, order=True):
@@ -65,9 +78,7 @@
     if wants_json(json):
         print_json({"nodes": replies, "findings": found})
     else:
-        columns = ("node", "domain", "phase", "ready", "revision", "digest", "reader")
-        columns += ("peers", "prompts", "calls", "queued")
-        print_table(columns, [_row(reply) for reply in replies])
+        print_table(COLUMNS, [_row(reply) for reply in replies])
         for finding in found:
             print(f"{finding.kind}: {finding.node}: {finding.text}")
     return FINDINGS if found else OK
--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/user_settings.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/user_settings.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 from typing import Annotated, Literal
 
-import json_merge_patch
+import json_merge_patch  # type: ignore[import-untyped]
 import msgspec
 import platformdirs
 
--- a/packages/dandelionpond-ctl/tests/conftest.py
+++ b/packages/dandelionpond-ctl/tests/conftest.py
@@ -7,13 +7,14 @@
 from prometheus_client import CollectorRegistry
 
 from dandelionpond import __version__
-from dandelionpond.decisions import ROUTE, RouteInput
+from dandelionpond.decisions import ROUTE
 from dandelionpond.http.keys import hash_key
 from dandelionpond.http.operators import OperatorsApi
 from dandelionpond.http.server import HttpListener, bind
 from dandelionpond.record.recorder import Recorder
 from dandelionpond.record.settings import RecordSettings
 from dandelionpond.routing.choice import Candidate, RouteRequest
+from dandelionpond.routing.router import RouteInput
 from dandelionpond.routing.settings import RoutingSettings
 
 KEY = "operators-key"
--- a/packages/standins/src/dandelionpond_standins/reference.py
+++ b/packages/standins/src/dandelionpond_standins/reference.py
@@ -58,8 +58,8 @@
 
 def settings_of(struct: Any, prefix: str = "") -> Iterator[Setting]:
     """Yield every setting of a struct; `*` stands for a name chosen by operators."""
-    info = msgspec.inspect.type_info(struct)
-    for field in info.fields:  # type: ignore[union-attr]
+    info: Any = msgspec.inspect.type_info(struct)
+    for field in info.fields:
         default, text = _default(field), _sentence(struct, field.name)
         yield from _leaves(field.type, prefix + field.name, default, text)
 
@@ -265,7 +265,7 @@
             if gt is not None:
                 return f"{name} > {gt}"
             return name if ge is None else f"{name} >= {ge}"
-    names = {
+    names: dict[Any, str] = {
         inspect.StrType: "text",
         inspect.BoolType: "true or false",
         inspect.NoneType: "null",
--- a/packages/standins/tests/test_reference.py
+++ b/packages/standins/tests/test_reference.py
@@ -1,5 +1,6 @@
 """Compare the pages in docs/ with the code, in both directions."""
 
+import asyncio
 import json
 import re
 from pathlib import Path
@@ -8,6 +9,7 @@
 import pytest
 from prometheus_client import generate_latest
 
+from dandelionpond.clock import ManualClock
 from dandelionpond.config.local import LocalSettings
 from dandelionpond.config.schema import EngineUpstream, ServiceUpstream, Settings
 from dandelionpond.errors import ANSWERS
@@ -15,6 +17,8 @@
 from dandelionpond.http.operators import OperatorsApi
 from dandelionpond.main import app as node_app
 from dandelionpond.metrics import Metrics
+from dandelionpond.node import Node
+from dandelionpond.runtime.core import Core, new_identity
 from dandelionpond_ctl.main import app as ctl_app
 from dandelionpond_ctl.user_settings import UserSettings
 from dandelionpond_standins import (
@@ -23,7 +27,8 @@
     reference_texts,
 )
 
-DOCS = Path(__file__).parents[3] / "docs"
+ROOT = Path(__file__).parents[3]
+DOCS = ROOT / "docs"
 PAGE = (DOCS / "reference.md").read_text()
 
 
@@ -190,3 +195,47 @@
             assert command in list(ctl_app)
         for link in re.findall(r"\]\(([\w./-]+)\)", text):
             assert (DOCS / link).exists(), link
+
+
+class TestOperations:
+    TEXT = (DOCS / "operations.md").read_text()
+
+    def test_counters_and_sections(self):
+        """Guard against a counter or a section of a dump that nodes do not have."""
+
+        async def dump():
+            addresses = ["127.0.0.1:0"] * 3
+            local = LocalSettings("n", "a", *addresses, "http://127.0.0.1:1", "0" * 64)
+            node = Node(Core(local, new_identity("n"), ManualClock()))
+            found = node.dump()
+            await node._close()
+            return found
+
+        found = asyncio.run(dump())
+        known = {
+            f"{name}/{event}"
+            for name in found["counters"]
+            for event in found["counters"][name]
+        }
+        named = set(re.findall(r"`(\w+/\w+)`", self.TEXT))
+        assert named - {"slice/event"} <= known
+        text = self.TEXT.split("## Reading a dump")[1].split("## ")[0]
+        assert first_cells(text) == list(found)
+        assert set(re.findall(r"--section\s+(\w+)", self.TEXT)) <= set(found)
+
+    def test_log_lines(self):
+        """Guard against a log line that the node does not write."""
+        folder = ROOT / "packages" / "dandelionpond" / "src"
+        source = "".join(path.read_text() for path in folder.rglob("*.py"))
+        lines = re.findall(r"[Ll]og\s+line\s+`([^`]+)`", self.TEXT)
+        assert len(lines) > 8
+        for line in lines:
+            assert f'"{line.replace("...", "%s")}"' in source, line
+
+    def test_error_kinds(self):
+        """Guard against an error kind that does not exist."""
+        kinds = {str(kind) for kind in ANSWERS}
+        groups = re.findall(r"[Ee]rrors((?:,?(?:\s+or)?\s+`\w+`)+)", self.TEXT)
+        named = set(re.findall(r"`(\w+)`", " ".join(groups)))
+        assert len(named) > 8
+        assert named <= kinds
