--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/main.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/main.py
@@ -1,5 +1,6 @@
 """Run the operators' commands from the command line."""
 
+import os
 import sys
 from collections.abc import Sequence
 
@@ -56,6 +57,8 @@
         code = app(
             arguments, exit_on_error=False, print_error=False, help_on_error=False
         )
+        # Python would report a closed pipe or a full disk at exit with a traceback.
+        sys.stdout.flush()
     except CommandError as error:
         print(f"dandelionpondctl: {error}", file=sys.stderr)
         return error.code
@@ -67,10 +70,20 @@
         print("dandelionpondctl: interrupted", file=sys.stderr)
         return FINDINGS
     except BrokenPipeError:
+        _discard_output()
         return OK
+    except OSError as error:
+        name = f"{error.filename}: " if error.filename else ""
+        print(f"dandelionpondctl: {name}{error.strerror or error}", file=sys.stderr)
+        return FINDINGS
     return code if isinstance(code, int) else OK
 
 
+def _discard_output() -> None:
+    """Send what is still buffered nowhere, as its reader has gone."""
+    os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+
+
 def main() -> None:
     """Start the command line and leave with its exit code."""
     sys.exit(run(sys.argv[1:]))
--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/record.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/record.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import BinaryIO
 
@@ -43,15 +44,11 @@
     follow
         Wait for more records until SIGINT.
     """
-    sink = _open(output)
-    try:
-        return run(_record(options, sink, follow))
-    except KeyboardInterrupt:
-        return OK if follow else FINDINGS
-    finally:
-        sink.flush()
-        if output is not None:
-            sink.close()
+    with _open(output) as sink:
+        try:
+            return run(_record(options, sink, follow))
+        except KeyboardInterrupt:
+            return OK if follow else FINDINGS
 
 
 class Copier:
@@ -111,13 +108,18 @@
     return not error and not copier.missing
 
 
-def _open(output: Path | None) -> BinaryIO:
+@contextmanager
+def _open(output: Path | None) -> Iterator[BinaryIO]:
     if output is None:
-        return sys.stdout.buffer
+        yield sys.stdout.buffer
+        sys.stdout.buffer.flush()
+        return
     try:
-        return output.open("xb")
+        sink = output.open("xb")
     except OSError as error:
         raise CommandError(f"{output}: {error.strerror}", USAGE) from error
+    with sink:
+        yield sink
 
 
 def _warn(url: str, text: str) -> None:
--- a/packages/dandelionpond-ctl/tests/conftest.py
+++ b/packages/dandelionpond-ctl/tests/conftest.py
@@ -28,6 +28,7 @@
         self.registry = CollectorRegistry()
         self.recorder = Recorder(RecordSettings(), __version__)
         self.lines = None
+        self.follows = False
         self.drained = 0
         self.peers = []
         self.url = ""
@@ -64,6 +65,8 @@
     async def decisions(self, follow):
         for line in self.recorder.lines() if self.lines is None else self.lines:
             yield line + b"\n"
+        if follow and self.follows:
+            await asyncio.Event().wait()
 
     def drain(self):
         self.drained += 1
--- a/packages/dandelionpond-ctl/tests/test_commands.py
+++ b/packages/dandelionpond-ctl/tests/test_commands.py
@@ -1,6 +1,11 @@
 """Test the commands that ask nodes, against real listeners."""
 
 import json
+import os
+import signal
+import subprocess
+import sys
+import time
 
 import pytest
 
@@ -15,6 +20,15 @@
     return words + [word for url in urls for word in ("--node", url)]
 
 
+def start(words, stdout=subprocess.PIPE):
+    """Start the tool as a process."""
+    command = [sys.executable, "-m", "dandelionpond_ctl.main", *words]
+    environment = os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)}
+    return subprocess.Popen(
+        command, stdout=stdout, stderr=subprocess.PIPE, env=environment
+    )
+
+
 def one_line(capsys):
     """Return the only line on standard error."""
     [line] = capsys.readouterr().err.splitlines()
@@ -201,6 +215,41 @@
         assert run(words + ["--follow"] * follow) == 1
         assert text in one_line(capsys)
 
+    def test_follow_until_interrupted(self, fleet, tmp_path):
+        """Guard against records that are lost when an operator ends the recording."""
+        view, path = fleet.node("n1"), tmp_path / "out.jsonl"
+        view.route("r1", 1.0)
+        view.follows = True
+        words = [*arguments("record", view.url), "--follow", "--output", str(path)]
+        process = start(words)
+        while not (path.exists() and path.read_bytes()):
+            assert process.poll() is None
+            time.sleep(0.02)
+        process.send_signal(signal.SIGINT)
+        assert process.communicate(timeout=30) == (b"", b"")
+        assert process.returncode == 0
+        assert path.read_bytes().splitlines() == view.recorder.lines()
+
+
+class TestOutput:
+    @pytest.mark.parametrize(
+        ("device", "code", "text"),
+        [(None, 0, b""), ("/dev/full", 1, b"No space left")],
+    )
+    def test_closed_pipe_and_full_disk(self, device, code, text, fleet):
+        """Guard against a traceback when standard output cannot be written."""
+        reader, writer = os.pipe()
+        os.close(reader)
+        if device is not None:
+            os.close(writer)
+            writer = os.open(device, os.O_WRONLY)
+        process = start(arguments("dump", fleet.node("n1").url), stdout=writer)
+        os.close(writer)
+        error = process.communicate(timeout=30)[1]
+        assert process.returncode == code
+        assert text in error
+        assert len(error.splitlines()) == bool(text)
+
 
 class TestReplay:
     @pytest.fixture
