Show the progress bar during one long call and leave standard output alone

rich moves standard output to the bar's console, here standard error, so a dump sent to a file would have landed on the terminal while the bar was shown. A record nested deeper than Python's recursion limit ended replay with a traceback; it now counts as invalid.

--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/drain.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/drain.py
@@ -71,12 +71,12 @@
                     text = "not asked, because the node before failed"
                     results.append(Drained(url, "", text))
                     continue
-                results.append(await _one(nodes, url, wait_s, bar))
+                results.append(await _one(nodes, url, wait_s))
                 bar.advance()
     return results
 
 
-async def _one(nodes: Nodes, url: str, wait_s: float, bar: Bar) -> Drained:
+async def _one(nodes: Nodes, url: str, wait_s: float) -> Drained:
     clock = SystemClock()
     end = clock.monotonic() + wait_s
     phase = ""
@@ -90,7 +90,6 @@
         except NodeError as error:
             if error.refused:
                 return Drained(url, "gone")
-        bar.refresh()
         await asyncio.sleep(POLL_S)
     if wait_s:
         return Drained(url, phase, f"still there after {wait_s:g} s")
--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/dump.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/dump.py
@@ -41,7 +41,9 @@
             return found
 
         # Each dump is printed as it arrives: those of a whole fleet do not fit memory.
-        async for reply in nodes.each(one, "asking for the dump"):
+        async for reply in nodes.each(
+            one, "asking for the dump", shows_bar=not sys.stdout.isatty()
+        ):
             if reply.error is not None:
                 code = FINDINGS
                 _write({"node": reply.node, "error": reply.error}, lines)
--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/folder.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/folder.py
@@ -10,6 +10,7 @@
 
 from dandelionpond.config.merge import Merged, SettingsError, merge_folder
 from dandelionpond_ctl.exit_codes import FINDINGS, USAGE
+from dandelionpond_ctl.progress import Bar
 
 # A pipe or a file has no width; this one keeps the longest usual row on one line.
 FILE_WIDTH = 200
@@ -41,7 +42,8 @@
 
 def load(directory: Path) -> Merged | list[SettingsError]:
     """Merge a directory; return the settings or all of its errors."""
-    result = merge_folder(read_directory(directory))
+    with Bar(f"reading {directory}", None):
+        result = merge_folder(read_directory(directory))
     return result.ok if result.is_ok() else result.error
 
 
--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/nodes.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/nodes.py
@@ -16,11 +16,10 @@
 
 from dandelionpond_ctl.exit_codes import USAGE
 from dandelionpond_ctl.folder import CommandError
-from dandelionpond_ctl.progress import SHOW_AFTER_S, Bar
+from dandelionpond_ctl.progress import Bar
 from dandelionpond_ctl.user_settings import UserSettings, load_user_settings
 
 KEY_VARIABLE = "DANDELIONPOND_OPERATOR_KEY"
-REFRESH_S = 0.25
 
 Answer = TypeVar("Answer")
 
@@ -132,7 +131,11 @@
             raise NodeError("the last line is cut short")
 
     async def each(
-        self, ask: Callable[[str], Coroutine[Any, Any, Any]], text: str
+        self,
+        ask: Callable[[str], Coroutine[Any, Any, Any]],
+        text: str,
+        *,
+        shows_bar: bool = True,
     ) -> AsyncIterator[Reply]:
         """Ask every node and yield the replies as they arrive."""
         gate = asyncio.Semaphore(self._max_parallel)
@@ -145,15 +148,14 @@
                     return Reply(url, error=str(error))
 
         tasks = [asyncio.create_task(one(url)) for url in self._urls]
-        with Bar(text, len(tasks)) as bar:
-            shower = asyncio.create_task(_show(bar))
+        with Bar(text, len(tasks), enabled=shows_bar) as bar:
             try:
                 for done in asyncio.as_completed(tasks):
                     reply = await done
                     bar.advance()
                     yield reply
             finally:
-                for task in (shower, *tasks):
+                for task in tasks:
                     task.cancel()
 
     async def all(
@@ -170,7 +172,7 @@
         try:
             async with self._open(method, url, path, limit) as response:
                 return msgspec.json.decode(await response.read(), type=type)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             text = f"not the answer of an operators' address: {error}"
             raise NodeError(text) from error
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
@@ -287,10 +289,3 @@
     return NodeError(
         f"connection failed: {' '.join(str(error).split()) or repr(error)}"
     )
-
-
-async def _show(bar: Bar) -> None:
-    await asyncio.sleep(SHOW_AFTER_S)
-    while not bar.shown:
-        bar.refresh()
-        await asyncio.sleep(REFRESH_S)
--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/record.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/record.py
@@ -75,7 +75,7 @@
 
 async def _record(options: NodeOptions, sink: BinaryIO, follow: bool) -> int:
     async with connect(options) as nodes:
-        with Bar("reading records", len(nodes.urls)) as bar:
+        with Bar("reading records", len(nodes.urls), enabled=not sink.isatty()) as bar:
             if follow:
                 jobs = [_copy(nodes, url, sink, True, bar) for url in nodes.urls]
                 good = await asyncio.gather(*jobs)
@@ -95,8 +95,6 @@
             copier.take(line)
             if follow:
                 sink.flush()
-            else:
-                bar.refresh()
     except NodeError as failure:
         error = str(failure)
     finally:
--- a/packages/dandelionpond-ctl/tests/test_commands.py
+++ b/packages/dandelionpond-ctl/tests/test_commands.py
@@ -282,7 +282,14 @@
         assert run(["replay", str(file)]) == 1
         assert "version 9, this is" in capsys.readouterr().out
 
-    @pytest.mark.parametrize(("text", "part"), [("{\n", "line 1"), ("", "no records")])
+    @pytest.mark.parametrize(
+        ("text", "part"),
+        [
+            ("{\n", "line 1"),
+            ("", "no records"),
+            ('{"seq":1,"input":' + "[" * 100_000, "line 1"),
+        ],
+    )
     def test_invalid(self, text, part, tmp_path, capsys):
         """Guard against a damaged or empty file that passes as verified."""
         path = tmp_path / "records.jsonl"
--- a/packages/dandelionpond/src/dandelionpond/record/replay.py
+++ b/packages/dandelionpond/src/dandelionpond/record/replay.py
@@ -66,7 +66,7 @@
         total += 1
         try:
             record = decoder.decode(line)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             invalid.append(f"line {number}: {error}")
             continue
         name = f"{record.slice}.{record.decision}"
