--- a/packages/dandelionpond/src/dandelionpond/limits/limiter.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/limiter.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from dandelionpond.errors import ErrorKind
+from dandelionpond.limits.messages import Share
 from dandelionpond.limits.settings import AccountLimits, LimitsSettings
-from dandelionpond.limits.shares import Share
 
 
 class Admitted(msgspec.Struct, frozen=True, tag=True):
--- a/packages/dandelionpond/src/dandelionpond/limits/settings.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/settings.py
@@ -21,11 +21,13 @@
     `engine_queue_s` bounds the prefill that a node lets wait in an engine; the rest
     waits in the node. `max_dispatch_tries` bounds the queue heads tried at once.
     `ageing_s` is the waiting time after which a long prompt precedes every short one
-    of its client account that arrived later.
+    of its client account that arrived later. `max_reports_per_s` bounds the reports of
+    demand; at about 30 bytes each, 40 of them take a quarter of the 5 KB/s for control.
     """
 
     grant_ttl_s: float = 10.0
     report_interval_s: float = 1.0
+    max_reports_per_s: float = 40.0
     floor_share: float = 0.1
     max_queue: int = 2_000
     max_queue_per_account: int = 500
--- a/packages/dandelionpond/src/dandelionpond/limits/shares.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/shares.py
@@ -1,69 +1,27 @@
 """Share fleet-wide limits between nodes without shared writes."""
 
+import heapq
 import math
 
 import msgspec
 
-from dandelionpond.hashing import owner, score
+from dandelionpond.hashing import score
+from dandelionpond.limits.messages import DemandReport, Grant, SendDemand, Share
+from dandelionpond.limits.pool import Held, Pool, covers, max_min
 from dandelionpond.limits.settings import AccountLimits, LimitsSettings
 
 # The design's bound on peers; beyond it the oldest departed node is no longer counted.
 _MAX_DEPARTED = 8_192
 
 
-class Share(msgspec.Struct, frozen=True):
-    """Hold a part of a limit: tokens per second and requests in flight."""
-
-    tokens_per_s: float
-    concurrency: int
-
-
-class DemandReport(msgspec.Struct, frozen=True):
-    """Report what a node could use of an account's limit."""
-
-    account: str
-    tokens_per_s: float
-    concurrency: float
-
-
-class Grant(msgspec.Struct, frozen=True):
-    """Give a node a part of an account's limit for `ttl_s` seconds."""
-
-    account: str
-    tokens_per_s: float
-    concurrency: int
-    ttl_s: float
-
-
-class SendDemand(msgspec.Struct, frozen=True, tag=True):
-    """Ask for demand to be sent to the aggregator node `to`."""
-
-    to: str
-    reports: tuple[DemandReport, ...]
-
-
-class _Held(msgspec.Struct, frozen=True):
-    share: Share
-    until: float
-
-
 class _Demand(msgspec.Struct):
     rate: float = 0.0
+    sent_rate: float = 0.0
     arrived: float = 0.0
     concurrency: float = 0.0
     sent_at: float = -math.inf
 
 
-class _Pool:
-    """Track what an aggregator gave away of one account's part."""
-
-    __slots__ = ("demands", "granted")
-
-    def __init__(self) -> None:
-        self.demands: dict[str, tuple[DemandReport, float]] = {}
-        self.granted: dict[str, list[_Held]] = {}
-
-
 class ShareBook:
     """Own this node's shares and the grants it gives as an aggregator.
 
@@ -83,9 +41,12 @@
 
     __slots__ = (
         "_aggregated_since",
+        "_aggregators",
         "_demands",
         "_departed",
         "_grants",
+        "_idle_next",
+        "_idle_order",
         "_limits",
         "_members",
         "_node",
@@ -94,6 +55,7 @@
         "_ranks",
         "_reported_at",
         "_settings",
+        "deferred_reports",
         "refused_demands",
     )
 
@@ -102,15 +64,20 @@
         self._settings = settings
         self._part = 1.0
         self._limits: dict[str, AccountLimits] = {}
-        self._members: tuple[str, ...] = (node,)
+        self._members: frozenset[str] = frozenset((node,))
         # Nodes that left the view, and the time until which they are counted.
         self._departed: dict[str, float] = {}
         self._ranks: dict[str, int] = {}
         self._demands: dict[str, _Demand] = {}
-        self._grants: dict[str, _Held] = {}
-        self._pools: dict[str, _Pool] = {}
+        self._grants: dict[str, Held] = {}
+        self._pools: dict[str, Pool] = {}
         self._aggregated_since: dict[str, float] = {}
+        # The aggregator of each account asked for, with its weight.
+        self._aggregators: dict[str, tuple[int, str]] = {}
+        self._idle_order: list[str] = []
+        self._idle_next = 0.0
         self._reported_at = now
+        self.deferred_reports = 0
         self.refused_demands = 0
 
     def configure(
@@ -120,32 +87,56 @@
         total = sum(shares.values())
         self._part = shares.get(domain, 0.0) / total if total > 0 else 0.0
         self._limits = dict(limits)
-        for table in (self._demands, self._grants, self._pools, self._aggregated_since):
+        self._idle_order = list(limits)
+        self._idle_next = 0.0
+        for table in (
+            self._demands,
+            self._grants,
+            self._pools,
+            self._aggregated_since,
+            self._aggregators,
+        ):
             for name in [name for name in table if name not in limits]:
                 del table[name]
 
     def set_members(self, names: tuple[str, ...], now: float) -> None:
         """Replace the live nodes of the failure domain, this one included."""
-        members = tuple(sorted({*names, self._node}))
-        for name in self._members:
-            if name not in members:
-                self._departed[name] = now + self._settings.grant_ttl_s
+        members = frozenset({*names, self._node})
+        gone = self._members - members
+        for name in gone:
+            self._departed[name] = now + self._settings.grant_ttl_s
         for name in members:
             self._departed.pop(name, None)
         while len(self._departed) > _MAX_DEPARTED:
             del self._departed[next(iter(self._departed))]
+        self._move_aggregators(gone, members - self._members)
         self._members = members
         self._ranks.clear()
-        for account in self._limits:
+        for account in list(self._aggregated_since):
             if self.aggregator(account) != self._node:
-                self._aggregated_since.pop(account, None)
+                del self._aggregated_since[account]
                 self._pools.pop(account, None)
-            else:
-                self._aggregated_since.setdefault(account, now)
 
     def aggregator(self, account: str) -> str:
         """Return the node that collects demand for an account."""
-        return owner(account, self._members) or self._node
+        known = self._aggregators.get(account)
+        if known is None:
+            known = max((score(account, name), name) for name in self._members)
+            self._aggregators[account] = known
+        return known[1]
+
+    def _move_aggregators(self, gone: frozenset[str], new: frozenset[str]) -> None:
+        """Correct what is known of aggregators, one hash for each account and node.
+
+        To rank all nodes anew for each account took 200 us an account with 437 nodes.
+        """
+        for account, known in list(self._aggregators.items()):
+            if known[1] in gone:
+                del self._aggregators[account]
+                continue
+            best = max(((score(account, name), name) for name in new), default=known)
+            if best > known:
+                self._aggregators[account] = best
 
     def part(self, account: str) -> Share:
         """Return the failure domain's fixed part of an account's limit."""
@@ -167,52 +158,90 @@
     def reports(self, now: float) -> list[SendDemand]:
         """Return the demand to send, once each `report_interval_s`.
 
-        An account without demand is reported twice in each `grant_ttl_s`, because a
-        node that does not report keeps its equal share, used or not.
+        An account is reported when its demand has doubled and twice in each
+        `grant_ttl_s`, without demand as well, because a node that does not report keeps
+        its equal share, used or not. At most `max_reports_per_s` are sent, the demand
+        that exceeds its share most first; the rest waits and is counted.
         """
         elapsed = now - self._reported_at
         if elapsed < self._settings.report_interval_s:
             return []
         self._reported_at = now
+        due = self._due_reports(elapsed, now)
+        budget = max(1, int(self._settings.max_reports_per_s * elapsed))
+        self.deferred_reports += max(0, len(due) - budget)
+        chosen = [account for _, account in heapq.nlargest(budget, due)]
+        chosen += self._idle_reports(budget - len(chosen), elapsed)
         sends: dict[str, list[DemandReport]] = {}
-        for account in self._limits:
-            demand = self._demands.setdefault(account, _Demand())
-            # Half of the old value remains, so one quiet second keeps most of a share.
-            demand.rate = 0.5 * demand.rate + 0.5 * demand.arrived / elapsed
-            demand.arrived = 0.0
-            idle_s = now - demand.sent_at
-            if demand.rate < 1.0 and idle_s < self._settings.grant_ttl_s / 2:
-                continue
-            demand.sent_at = now
+        for account in chosen:
+            demand = self._demands.get(account) or _Demand()
+            demand.sent_at, demand.sent_rate = now, demand.rate
             report = DemandReport(account, demand.rate, demand.concurrency)
             demand.concurrency *= 0.5
             sends.setdefault(self.aggregator(account), []).append(report)
+            if demand.rate < 1.0 and account in self._demands:
+                del self._demands[account]
         return [SendDemand(to, tuple(reports)) for to, reports in sends.items()]
 
+    def _due_reports(self, elapsed: float, now: float) -> list[tuple[float, str]]:
+        """Return the accounts to report, each with its demand over its share."""
+        due = []
+        renewal_s = self._settings.grant_ttl_s / 2
+        for account, demand in self._demands.items():
+            # Half of the old value remains, so one quiet second keeps most of a share.
+            demand.rate = 0.5 * demand.rate + 0.5 * demand.arrived / elapsed
+            demand.arrived = 0.0
+            has_doubled = demand.rate > 2.0 * demand.sent_rate + 1.0
+            if has_doubled or now - demand.sent_at >= renewal_s:
+                share = self.share(account, now)
+                need = demand.rate / max(1e-9, share.tokens_per_s)
+                slots = demand.concurrency / max(1e-9, share.concurrency)
+                due.append((max(need, slots), account))
+        return due
+
+    def _idle_reports(self, budget: int, elapsed: float) -> list[str]:
+        """Return accounts without demand in turn, each twice in `grant_ttl_s`."""
+        count = len(self._idle_order)
+        if budget <= 0 or not count:
+            return []
+        each_s = self._settings.grant_ttl_s / 2
+        start = self._idle_next
+        self._idle_next = start + min(float(budget), count * elapsed / each_s, count)
+        found = [
+            self._idle_order[index % count]
+            for index in range(math.ceil(start), math.ceil(self._idle_next))
+        ]
+        self._idle_next %= count
+        return [account for account in found if account not in self._demands]
+
     def demanded(self, sender: str, report: DemandReport, now: float) -> Grant | None:
         """Answer a node's demand as aggregator; None if this node must not grant."""
         account = report.account
-        since = self._aggregated_since.get(account)
-        if sender not in self._members or since is None or account not in self._limits:
+        if (
+            sender not in self._members
+            or account not in self._limits
+            or self.aggregator(account) != self._node
+        ):
             self.refused_demands += 1
             return None
-        pool = self._pools.setdefault(account, _Pool())
+        # The period before the first grant starts with the first demand, which comes
+        # after this node took over.
+        since = self._aggregated_since.setdefault(account, now)
+        pool = self._pools.setdefault(account, Pool())
         ttl = self._settings.grant_ttl_s
-        for table in (pool.demands, pool.granted):
-            for name in [name for name in table if name not in self._members]:
-                # A granted part stays counted until the grant has ended.
-                if table is pool.demands or self._has_ended(pool, name, now):
-                    del table[name]
+        for name in [name for name in pool.demands if name not in self._members]:
+            del pool.demands[name]
+        for name in [name for name in pool.granted if name not in self._members]:
+            # A granted part stays counted until the grant has ended.
+            if self._has_ended(pool, name, now):
+                del pool.granted[name]
         pool.demands[sender] = (report, now)
         if now - since < ttl:
             return None
         part = self.part(account)
-        counted = [
-            self._counted(pool, account, name, now)
-            for name in {*self._basis(now), *pool.granted} - {sender}
-        ]
-        free_tokens = max(0.0, part.tokens_per_s - sum(c.tokens_per_s for c in counted))
-        free_slots = max(0, part.concurrency - sum(c.concurrency for c in counted))
+        counted = self._counted_others(pool, account, sender, now)
+        free_tokens = max(0.0, part.tokens_per_s - counted.tokens_per_s)
+        free_slots = max(0, part.concurrency - counted.concurrency)
         fair = self._fair(pool, part, sender, now)
         share = Share(
             min(free_tokens, fair.tokens_per_s), min(free_slots, fair.concurrency)
@@ -220,8 +249,8 @@
         held = [one for one in pool.granted.get(sender, []) if one.until > now]
         # Only the largest of the running grants counts, so one entry for each size is
         # enough and the list stays short.
-        held = [one for one in held if not _covers(share, one.share)]
-        pool.granted[sender] = [*held, _Held(share, now + 2 * ttl)]
+        held = [one for one in held if not covers(share, one.share)]
+        pool.granted[sender] = [*held, Held(share, now + 2 * ttl)]
         return Grant(account, share.tokens_per_s, share.concurrency, ttl)
 
     def granted(self, sender: str, grant: Grant, asked_at: float) -> None:
@@ -231,7 +260,7 @@
         if sender != self.aggregator(grant.account):
             return
         share = Share(grant.tokens_per_s, grant.concurrency)
-        self._grants[grant.account] = _Held(share, asked_at + grant.ttl_s)
+        self._grants[grant.account] = Held(share, asked_at + grant.ttl_s)
 
     def share(self, account: str, now: float) -> Share:
         """Return this node's share of an account's limit at a time."""
@@ -285,10 +314,32 @@
             rank = self._ranks.setdefault(key, len(ranked))
         return rank
 
-    def _has_ended(self, pool: _Pool, name: str, now: float) -> bool:
+    def _has_ended(self, pool: Pool, name: str, now: float) -> bool:
         return all(one.until <= now for one in pool.granted[name])
 
-    def _counted(self, pool: _Pool, account: str, name: str, now: float) -> Share:
+    def _counted_others(
+        self, pool: Pool, account: str, sender: str, now: float
+    ) -> Share:
+        """Return the most that all nodes but the sender may be using.
+
+        The equal shares of all nodes add up to the part, so only the nodes with grants
+        are visited: a domain has some 437 nodes and few of them have one.
+        """
+        part = self.part(account)
+        tokens, slots = part.tokens_per_s, part.concurrency
+        basis = {*self._members, *self._departed}
+        for name in {*pool.granted, sender}:
+            if name in basis:
+                equal = self._equal(account, name, now)
+                tokens -= equal.tokens_per_s
+                slots -= equal.concurrency
+            if name != sender:
+                counted = self._counted(pool, account, name, now)
+                tokens += counted.tokens_per_s
+                slots += counted.concurrency
+        return Share(max(0.0, tokens), slots)
+
+    def _counted(self, pool: Pool, account: str, name: str, now: float) -> Share:
         """Return the most that a node may be using."""
         held = [one for one in pool.granted.get(name, []) if one.until > now]
         ttl = self._settings.grant_ttl_s
@@ -306,41 +357,30 @@
             max(one.concurrency for one in running),
         )
 
-    def _fair(self, pool: _Pool, part: Share, sender: str, now: float) -> Share:
+    def _fair(self, pool: Pool, part: Share, sender: str, now: float) -> Share:
         """Return the max-min fair part for a node, and its part of what is left."""
         fresh = now - self._settings.grant_ttl_s
         count = len(self._members)
         floor = self._settings.floor_share / count
-        rates: dict[str, float] = {}
-        slots: dict[str, float] = {}
-        for name in self._members:
-            report, at = pool.demands.get(name, (None, -math.inf))
-            known = report is not None and at >= fresh
-            rate = (
-                report.tokens_per_s if report and known else part.tokens_per_s / count
-            )
-            slot = report.concurrency if report and known else part.concurrency / count
-            rates[name] = max(rate, part.tokens_per_s * floor)
-            slots[name] = max(slot, part.concurrency * floor)
-        tokens = _max_min(rates, part.tokens_per_s, sender)
+        tokens, slots = part.tokens_per_s, float(part.concurrency)
+        rates: list[tuple[float, int]] = []
+        wanted: list[tuple[float, int]] = []
+        own = (0.0, 0.0)
+        for name, (report, at) in pool.demands.items():
+            if at < fresh:
+                continue
+            rate = max(report.tokens_per_s, tokens * floor)
+            slot = max(report.concurrency, slots * floor)
+            rates.append((rate, 1))
+            wanted.append((slot, 1))
+            if name == sender:
+                own = (rate, slot)
+        silent = count - len(rates)
+        if silent > 0:
+            # A node that has not reported is taken to use its equal share.
+            rates.append((tokens / count, silent))
+            wanted.append((slots / count, silent))
         return Share(
-            tokens, math.floor(_max_min(slots, part.concurrency, sender) + 1e-9)
+            max_min(rates, tokens, own[0]),
+            math.floor(max_min(wanted, slots, own[1]) + 1e-9),
         )
-
-
-def _covers(larger: Share, smaller: Share) -> bool:
-    return (
-        larger.tokens_per_s >= smaller.tokens_per_s
-        and larger.concurrency >= smaller.concurrency
-    )
-
-
-def _max_min(demands: dict[str, float], total: float, name: str) -> float:
-    """Return the max-min fair part of a total; what is left is shared evenly."""
-    left = total
-    ordered = sorted(demands.items(), key=lambda item: (item[1], item[0]))
-    parts: dict[str, float] = {}
-    for index, (key, demand) in enumerate(ordered):
-        parts[key] = min(demand, left / (len(ordered) - index))
-        left -= parts[key]
-    return parts[name] + max(0.0, left) / len(ordered)
--- a/packages/dandelionpond/src/dandelionpond/limits/tests/test_limiter.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/tests/test_limiter.py
@@ -5,8 +5,8 @@
 
 from dandelionpond.errors import ErrorKind
 from dandelionpond.limits.limiter import AccountLimiter, Admitted, Refused
+from dandelionpond.limits.messages import Share
 from dandelionpond.limits.settings import AccountLimits, LimitsSettings
-from dandelionpond.limits.shares import Share
 
 LIMITS = {"a": AccountLimits(tokens_per_s=1_000.0, burst_tokens=5_000.0, concurrency=4)}
 
--- a/packages/dandelionpond/src/dandelionpond/limits/tests/test_shares.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/tests/test_shares.py
@@ -2,8 +2,9 @@
 
 from hypothesis import given, strategies as st
 
+from dandelionpond.limits.messages import DemandReport, Grant, Share
 from dandelionpond.limits.settings import AccountLimits, LimitsSettings
-from dandelionpond.limits.shares import DemandReport, Grant, Share, ShareBook
+from dandelionpond.limits.shares import ShareBook
 
 SETTINGS = LimitsSettings()
 LIMITS = {"a": AccountLimits(tokens_per_s=10_000.0, concurrency=20)}
--- a/packages/dandelionpond/src/dandelionpond/runtime/accounts.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/accounts.py
@@ -6,7 +6,8 @@
 from dandelionpond.config.schema import Settings
 from dandelionpond.errors import Failure
 from dandelionpond.limits.limiter import AccountLimiter, Admitted, Refused
-from dandelionpond.limits.shares import DemandReport, Grant, SendDemand, ShareBook
+from dandelionpond.limits.messages import DemandReport, Grant, SendDemand
+from dandelionpond.limits.shares import ShareBook
 from dandelionpond.runtime.core import Core
 
 
--- a/packages/dandelionpond/src/dandelionpond/runtime/gossip.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/gossip.py
@@ -7,7 +7,7 @@
 from dandelionpond.config.distribution import Distribution
 from dandelionpond.config.messages import Event, Peer, PeerRevision, PeersChanged
 from dandelionpond.config.schema import Settings
-from dandelionpond.limits.shares import DemandReport, Grant as ShareGrant
+from dandelionpond.limits.messages import DemandReport, Grant as ShareGrant
 from dandelionpond.membership.messages import (
     Action,
     Exchange,
--- a/packages/standins/src/dandelionpond_standins/bench/ours.py
+++ b/packages/standins/src/dandelionpond_standins/bench/ours.py
@@ -5,9 +5,9 @@
 
 from dandelionpond.limits.admission import Admission, EngineWindows
 from dandelionpond.limits.limiter import AccountLimiter, Admitted
+from dandelionpond.limits.messages import Share
 from dandelionpond.limits.queue import FairQueue, Queued
 from dandelionpond.limits.settings import AccountLimits, LimitsSettings
-from dandelionpond.limits.shares import Share
 from dandelionpond.routing.load import EngineTraits, LoadReport
 from dandelionpond.routing.prefixes import CacheEvent
 from dandelionpond.routing.router import RouteInput, Router
