--- a/packages/dandelionpond/src/dandelionpond/routing/load.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/load.py
@@ -10,6 +10,9 @@
 _LEARNING_RATE = 0.1
 # Work of other nodes that no report shows yet makes an engine look slow, never fast.
 _SLOWER_RATE = 0.03
+# A request sent this shortly before a report was made may have arrived after it. To
+# count it twice until the next report costs less than to miss it.
+_ARRIVAL_MARGIN_S = 0.02
 _CORRECTION_RANGE = (0.5, 4.0)
 _RATE_RANGE = (0.1, 4.0)
 
@@ -65,6 +68,10 @@
         # Memory that own streams gave back after the report was made: (time, tokens).
         self.released: list[tuple[float, float]] = []
 
+    def may_miss(self, send: _Send) -> bool:
+        """Return whether the report may not show a request."""
+        return send.at >= self.at - _ARRIVAL_MARGIN_S
+
 
 class LoadBook:
     """Own the load of each engine in reach, as this node can know it.
@@ -177,7 +184,7 @@
             return
         engine = self._engines[send.engine]
         del engine.sends[request_id]
-        if send.at <= engine.at:
+        if not engine.may_miss(send):
             engine.released.append((now, send.kv_tokens))
 
     def age_s(self, engine_name: str, now: float) -> float:
@@ -226,7 +233,7 @@
             after = max(0.0, after - max(0.0, drained - before))
             before = max(0.0, before - drained)
         for send in engine.sends.values():
-            if send.at > engine.at and send.first_token_at is None:
+            if engine.may_miss(send) and send.first_token_at is None:
                 if send.priority <= priority:
                     before += send.uncached
                 else:
@@ -252,7 +259,7 @@
             )
             used = engine.report.kv_used_tokens + growth
         used += sum(
-            send.kv_tokens for send in engine.sends.values() if send.at > engine.at
+            send.kv_tokens for send in engine.sends.values() if engine.may_miss(send)
         )
         used -= sum(tokens for _, tokens in engine.released)
         return engine.traits.kv_capacity_tokens - max(0.0, used)
--- a/packages/dandelionpond/src/dandelionpond/routing/tests/test_load.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/tests/test_load.py
@@ -28,6 +28,14 @@
         loads.first_token("new", 10.3)
         assert loads.queue_tokens("a", 1, 10.3) == 0.0
 
+    def test_send_at_the_time_of_a_report_is_counted(self):
+        """Guard against a request that neither the report nor the node counts."""
+        loads = book()
+        loads.sent("r", "a", 4_000, 5_000, 1, 0.2, now=9.5)
+        loads.report(LoadReport("a", 0.5, {}, 0), now=10.0)
+        assert loads.queue_tokens("a", 1, 10.0) == pytest.approx(4_000.0)
+        assert loads.free_tokens("a", 10.0) == pytest.approx(395_000.0)
+
     def test_less_urgent_work_does_not_delay(self):
         """Guard against avoiding an engine that only runs a long prompt."""
         loads = book()
