Record a finite age for an engine without a load report

JSON has no infinity: the age became null, and replay reported each choice beside an engine that had not reported yet as a difference.

--- a/packages/dandelionpond/src/dandelionpond/routing/router.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/router.py
@@ -21,6 +21,10 @@
 from dandelionpond.routing.separation import Separation, priority
 from dandelionpond.routing.settings import RoutingSettings
 
+# The age of a report that never came. It is finite because a choice is recorded as
+# JSON, where infinity becomes null and cannot be replayed.
+NO_REPORT_AGE_S = 1e9
+
 
 class RouteInput(msgspec.Struct, frozen=True):
     """Hold the input of one choice, as it is recorded."""
@@ -200,7 +204,7 @@
                     loads.correction(name),
                     self._policy.step_tokens / rate if is_shared else 0.0,
                     later,
-                    loads.age_s(name, now),
+                    min(NO_REPORT_AGE_S, loads.age_s(name, now)),
                     self.outliers.start_share(name, now),
                     state,
                     roles[name],
