--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup run test lint format types bench slopes lock proto clean
+.PHONY: setup run test lint format types reference bench slopes lock proto clean
 
 setup: $(STAMP)
 
@@ -33,6 +33,10 @@
 types: setup
 	$(PYTHON) -m mypy
 
+# Writes docs/reference.md from the code; a test fails while the page is old.
+reference: setup
+	$(PYTHON) -m dandelionpond_standins.reference
+
 bench: setup
 	$(PYTHON) -m dandelionpond_standins.bench
 
--- a/packages/standins/src/dandelionpond_standins/reference.py
+++ b/packages/standins/src/dandelionpond_standins/reference.py
@@ -1,6 +1,6 @@
 """Write the reference page from the code, so that it needs no hand edits.
 
-`python -m dandelionpond_standins.reference` writes docs/reference.md.
+`make reference` writes docs/reference.md.
 """
 
 import re
@@ -41,7 +41,7 @@
 }
 _INTRODUCTION = """# Reference
 
-This page is written by `python -m dandelionpond_standins.reference` from the code of
+This page is written by `make reference` from the code of
 version 0.1.0. Change the code or the texts beside that module, never this page.
 """
 
