--- a/packages/standins/src/dandelionpond_standins/reference.py
+++ b/packages/standins/src/dandelionpond_standins/reference.py
@@ -41,8 +41,8 @@
 }
 _INTRODUCTION = """# Reference
 
-`make reference` writes this page from the code of version 0.1.0. Change the code, or the
-texts in `reference_settings.py` and `reference_texts.py`, never this page.
+`make reference` writes this page from the code of version 0.1.0. Change the code, or
+the texts in `reference_settings.py` and `reference_texts.py`, never this page.
 """
 
 
