Record refusals by limit and by estimate, so that replay decides them again

Cause: only the choice of an engine was recorded; `explain` could not say why a request was refused.

Ruled out: recording admissions that pass, which would fill the ring with the ordinary case. Tests of check() now compare the pure function with the recorded outcome as well; what they asserted before they still assert.

Conclusion: three decisions are recorded; the functions that decide are the ones that replay calls.

--- a/packages/dandelionpond/src/dandelionpond/decisions.py
+++ b/packages/dandelionpond/src/dandelionpond/decisions.py
@@ -1,5 +1,11 @@
 """Register the decisions that nodes record and operators replay."""
 
+from dandelionpond.limits.admission import (
+    AdmissionInput,
+    AdmissionOutcome,
+    decide_admission,
+)
+from dandelionpond.limits.limiter import LimitInput, LimitOutcome, decide_limit
 from dandelionpond.record.registry import Registry
 from dandelionpond.routing.choice import RouteChoice, choose
 from dandelionpond.routing.router import RouteInput
@@ -11,3 +17,7 @@
 
 REGISTRY = Registry()
 ROUTE = REGISTRY.register("routing", "choose", RouteInput, RouteChoice, _route)
+LIMIT = REGISTRY.register("limits", "limit", LimitInput, LimitOutcome, decide_limit)
+ADMISSION = REGISTRY.register(
+    "limits", "admission", AdmissionInput, AdmissionOutcome, decide_admission
+)
--- a/packages/dandelionpond/src/dandelionpond/limits/admission.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/admission.py
@@ -2,7 +2,7 @@
 
 import math
 
-from expression import Error, Ok, Result
+import msgspec
 
 from dandelionpond.errors import ErrorKind, Failure
 from dandelionpond.limits.settings import LimitsSettings
@@ -11,6 +11,25 @@
 _AGEING_SHARE = 0.1
 
 
+class AdmissionInput(msgspec.Struct, frozen=True):
+    """Hold what decides whether a request can make its deadline; times in seconds."""
+
+    request_id: str
+    tokens_before: float
+    rate_tokens_per_s: float
+    needed_s: float
+    remaining_s: float
+    max_retry_after_s: float
+
+
+class AdmissionOutcome(msgspec.Struct, frozen=True):
+    """Hold the outcome with the expected wait in the node's queue in seconds."""
+
+    is_admitted: bool
+    wait_s: float
+    retry_after_s: float | None
+
+
 class Admission:
     """Decide whether a request can make its deadline, from learned throughput.
 
@@ -50,19 +69,48 @@
         return tokens_before / self._rate
 
     def check(
-        self, tokens_before: float, needed_s: float, remaining_s: float
-    ) -> Result[float, Failure]:
-        """Return the expected wait, or refuse at once with a time to come back."""
-        wait = self.queue_wait_s(tokens_before)
-        if wait + needed_s <= remaining_s:
-            return Ok(wait)
-        self.refused += 1
-        retry = min(self._settings.max_retry_after_s, max(1.0, wait))
-        if needed_s > remaining_s:
-            message = f"{needed_s:.1f} s of work with {remaining_s:.1f} s left"
-        else:
-            message = f"expected wait of {wait:.1f} s with {remaining_s:.1f} s left"
-        return Error(Failure(ErrorKind.DEADLINE_UNREACHABLE, message, retry))
+        self,
+        tokens_before: float,
+        needed_s: float,
+        remaining_s: float,
+        request_id: str = "",
+    ) -> tuple[AdmissionInput, AdmissionOutcome]:
+        """Decide whether a request can make its deadline; return what was decided on.
+
+        `tokens_before` are served first, `needed_s` is the time an engine needs and
+        `remaining_s` the time until the deadline.
+        """
+        made = AdmissionInput(
+            request_id,
+            tokens_before,
+            self._rate,
+            needed_s,
+            remaining_s,
+            self._settings.max_retry_after_s,
+        )
+        outcome = decide_admission(made)
+        self.refused += not outcome.is_admitted
+        return made, outcome
+
+
+def decide_admission(made: AdmissionInput) -> AdmissionOutcome:
+    """Decide whether a request can make its deadline; a pure function."""
+    wait_s = made.tokens_before / made.rate_tokens_per_s
+    if wait_s + made.needed_s <= made.remaining_s:
+        return AdmissionOutcome(True, wait_s, None)
+    retry_after_s = min(made.max_retry_after_s, max(1.0, wait_s))
+    return AdmissionOutcome(False, wait_s, retry_after_s)
+
+
+def admission_failure(made: AdmissionInput, outcome: AdmissionOutcome) -> Failure:
+    """Return the failure that a caller gets for a refusal."""
+    left = f"{made.remaining_s:.1f} s left"
+    if made.needed_s > made.remaining_s:
+        message = f"{made.needed_s:.1f} s of work with {left}"
+    else:
+        message = f"expected wait of {outcome.wait_s:.1f} s with {left}"
+    kind = ErrorKind.DEADLINE_UNREACHABLE
+    return Failure(kind, message, outcome.retry_after_s)
 
 
 class EngineWindows:
--- a/packages/dandelionpond/src/dandelionpond/limits/limiter.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/limiter.py
@@ -17,11 +17,46 @@
     tokens: float
 
 
+class LimitInput(msgspec.Struct, frozen=True):
+    """Hold what decides whether an account's limit admits a request.
+
+    `level` and `size` are those of the account's bucket in tokens; `tokens_per_s` and
+    `concurrency` are this node's share of the limit.
+    """
+
+    request_id: str
+    account: str
+    tokens: float
+    level: float
+    size: float
+    tokens_per_s: float
+    in_flight: int
+    concurrency: int
+    report_interval_s: float
+    max_retry_after_s: float
+
+
+class LimitOutcome(msgspec.Struct, frozen=True):
+    """Hold the outcome: no kind means admitted; the time is in seconds."""
+
+    kind: ErrorKind | None
+    retry_after_s: float | None
+
+
 class Refused(msgspec.Struct, frozen=True, tag=True):
-    """State why a request is refused and when to come back, in seconds."""
+    """State why a request is refused and when to come back, in seconds.
+
+    `made` is the recorded input; it is None for an account without a limit.
+    """
 
     kind: ErrorKind
     retry_after_s: float | None
+    made: LimitInput | None = None
+
+    @property
+    def outcome(self) -> LimitOutcome:
+        """Return the recorded outcome."""
+        return LimitOutcome(self.kind, self.retry_after_s)
 
 
 class _Bucket:
@@ -98,25 +133,31 @@
         bucket = self._buckets.get(account)
         return bucket.in_flight if bucket else 0
 
-    def admit(self, account: str, tokens: float, now: float) -> Admitted | Refused:
+    def admit(
+        self, account: str, tokens: float, now: float, request_id: str = ""
+    ) -> Admitted | Refused:
         """Admit a request and charge its tokens, or say when to come back."""
         bucket = self._buckets.get(account)
         if bucket is None:
             self.refused += 1
             return Refused(ErrorKind.NOT_PERMITTED, None)
         _refill(bucket, now)
-        if bucket.in_flight >= bucket.share.concurrency:
-            self.refused += 1
-            return Refused(
-                ErrorKind.CONCURRENCY_LIMITED, self._settings.report_interval_s
-            )
-        missing = min(tokens, bucket.size) - bucket.level
-        rate = bucket.share.tokens_per_s
-        if missing > 1e-6 or rate <= 0.0:
+        made = LimitInput(
+            request_id,
+            account,
+            tokens,
+            bucket.level,
+            bucket.size,
+            bucket.share.tokens_per_s,
+            bucket.in_flight,
+            bucket.share.concurrency,
+            self._settings.report_interval_s,
+            self._settings.max_retry_after_s,
+        )
+        outcome = decide_limit(made)
+        if outcome.kind is not None:
             self.refused += 1
-            wait = missing / rate if rate > 0.0 else math.inf
-            limit = self._settings.max_retry_after_s
-            return Refused(ErrorKind.RATE_LIMITED, min(limit, max(0.001, wait)))
+            return Refused(outcome.kind, outcome.retry_after_s, made)
         bucket.level -= tokens
         bucket.in_flight += 1
         return Admitted(account, tokens)
@@ -132,6 +173,19 @@
         bucket.level = min(bucket.size, level)
 
 
+def decide_limit(made: LimitInput) -> LimitOutcome:
+    """Decide whether an account's limit admits a request; a pure function."""
+    if made.in_flight >= made.concurrency:
+        return LimitOutcome(ErrorKind.CONCURRENCY_LIMITED, made.report_interval_s)
+    missing = min(made.tokens, made.size) - made.level
+    rate = made.tokens_per_s
+    if missing <= 1e-6 and rate > 0.0:
+        return LimitOutcome(None, None)
+    wait = missing / rate if rate > 0.0 else math.inf
+    retry_after_s = min(made.max_retry_after_s, max(0.001, wait))
+    return LimitOutcome(ErrorKind.RATE_LIMITED, retry_after_s)
+
+
 def _refill(bucket: _Bucket, now: float) -> None:
     elapsed = max(0.0, now - bucket.at)
     gained = bucket.level + elapsed * bucket.share.tokens_per_s
--- a/packages/dandelionpond/src/dandelionpond/limits/tests/test_admission.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/tests/test_admission.py
@@ -3,7 +3,12 @@
 import pytest
 
 from dandelionpond.errors import ErrorKind, Execution
-from dandelionpond.limits.admission import Admission, EngineWindows
+from dandelionpond.limits.admission import (
+    Admission,
+    EngineWindows,
+    admission_failure,
+    decide_admission,
+)
 from dandelionpond.limits.settings import LimitsSettings
 
 
@@ -20,12 +25,16 @@
     )
     def test_refuses_what_cannot_finish(self, before, needed, remaining, retry):
         """Guard against work that misses its deadline and displaces other work."""
-        checked = Admission(LimitsSettings(), 10_000.0).check(before, needed, remaining)
-        assert checked.is_error() == (retry is not None)
+        admission = Admission(LimitsSettings(), 10_000.0)
+        made, outcome = admission.check(before, needed, remaining, "r")
+        assert outcome.is_admitted == (retry is None)
+        assert decide_admission(made) == outcome
+        assert admission.refused == (retry is not None)
         if retry is not None:
-            assert checked.error.kind is ErrorKind.DEADLINE_UNREACHABLE
-            assert checked.error.execution is Execution.NOT_RUN
-            assert checked.error.retry_after_s == retry
+            failure = admission_failure(made, outcome)
+            assert failure.kind is ErrorKind.DEADLINE_UNREACHABLE
+            assert failure.execution is Execution.NOT_RUN
+            assert failure.retry_after_s == retry
 
     def test_learns_only_from_a_backlog(self):
         """Guard against a rate that falls because little is asked for."""
--- a/packages/dandelionpond/src/dandelionpond/limits/tests/test_limiter.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/tests/test_limiter.py
@@ -4,7 +4,12 @@
 from hypothesis import given, strategies as st
 
 from dandelionpond.errors import ErrorKind
-from dandelionpond.limits.limiter import AccountLimiter, Admitted, Refused
+from dandelionpond.limits.limiter import (
+    AccountLimiter,
+    Admitted,
+    Refused,
+    decide_limit,
+)
 from dandelionpond.limits.messages import Share
 from dandelionpond.limits.settings import AccountLimits, LimitsSettings
 
@@ -27,8 +32,12 @@
         """Guard against a Retry-After at which the same request is refused again."""
         limits = limiter()
         assert limits.admit("a", 5_000, 0.0) == Admitted("a", 5_000)
-        refused = limits.admit("a", 2_000, 0.0)
-        assert refused == Refused(ErrorKind.RATE_LIMITED, pytest.approx(2.0))
+        refused = limits.admit("a", 2_000, 0.0, "r")
+        assert isinstance(refused, Refused)
+        assert refused.kind is ErrorKind.RATE_LIMITED
+        assert refused.retry_after_s == pytest.approx(2.0)
+        assert refused.made.request_id == "r"
+        assert decide_limit(refused.made) == refused.outcome
         assert isinstance(limits.admit("a", 2_000, 2.0), Admitted)
 
     def test_prompt_over_the_burst_leaves_a_debt(self):
--- a/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
@@ -4,11 +4,16 @@
 from random import Random
 
 import msgspec
-from expression import Error, Result
 
 from dandelionpond.config.schema import EngineUpstream, Settings
 from dandelionpond.errors import ErrorKind, Failure
-from dandelionpond.limits.admission import Admission, EngineWindows
+from dandelionpond.limits.admission import (
+    Admission,
+    AdmissionInput,
+    AdmissionOutcome,
+    EngineWindows,
+    admission_failure,
+)
 from dandelionpond.limits.queue import FairQueue, Queued
 from dandelionpond.routing.choice import (
     MAX_CANDIDATES,
@@ -75,10 +80,15 @@
 
 
 class Refuse(msgspec.Struct, frozen=True, tag=True):
-    """Answer a failure; nothing was sent."""
+    """Answer a failure; nothing was sent.
+
+    `made` and `outcome` are recorded if the refusal was decided by the estimate.
+    """
 
     request_id: str
     failure: Failure
+    made: AdmissionInput | None = None
+    outcome: AdmissionOutcome | None = None
 
 
 DispatchAction = Place | PlaceGroup | Refuse
@@ -153,11 +163,10 @@
 
     def arrive(self, work: Work, now: float) -> list[DispatchAction]:
         """Take a prompt and return what to do with it and with others."""
-        checked = self._check(work, now)
-        if checked.is_error():
+        needed_s = self._check(work, now)
+        if isinstance(needed_s, Refuse):
             self.counters["refused"] += 1
-            return [Refuse(work.request_id, checked.error)]
-        needed_s = checked.ok
+            return [needed_s]
         item = Queued(
             work.request_id,
             work.account,
@@ -274,12 +283,12 @@
                 now,
             )
 
-    def _check(self, work: Work, now: float) -> Result[float, Failure]:
+    def _check(self, work: Work, now: float) -> float | Refuse:
         """Return the seconds an idle engine needs, or why the prompt is refused."""
         if len(self._placed) + len(self.queue) >= self._settings.requests.max_in_flight:
             message = "this node has too many requests in flight"
             failure = Failure(ErrorKind.OVERLOADED, message, _DEFAULT_RETRY_S)
-            return Error(failure)
+            return Refuse(work.request_id, failure)
         serving = [
             name
             for name, engine in self._engines.items()
@@ -288,7 +297,10 @@
         ]
         if not serving:
             message = f"no engine in reach serves model {work.model!r}"
-            return Error(Failure(ErrorKind.NO_UPSTREAM, message, _DEFAULT_RETRY_S))
+            return Refuse(
+                work.request_id,
+                Failure(ErrorKind.NO_UPSTREAM, message, _DEFAULT_RETRY_S),
+            )
         request = self.router.request(
             work.request_id, work.prompt_tokens, work.max_tokens, work.deadline - now
         )
@@ -296,15 +308,22 @@
         is_few = len(serving) < self._settings.memory.min_group_engines
         if self.router.needs_group(request) and (is_few or work.kv_tokens > total):
             message = "the engines in reach have too little memory for this prompt"
-            return Error(
-                Failure(ErrorKind.INSUFFICIENT_MEMORY, message, _DEFAULT_RETRY_S)
+            return Refuse(
+                work.request_id,
+                Failure(ErrorKind.INSUFFICIENT_MEMORY, message, _DEFAULT_RETRY_S),
             )
         needed_s = self._needed_s(work, serving)
         before = self.queue.tokens_before(
             work.account, work.weight, float(work.prompt_tokens), now
         )
-        checked = self.admission.check(before, needed_s, work.deadline - now)
-        return checked.map(lambda _: needed_s)
+        made, outcome = self.admission.check(
+            before, needed_s, work.deadline - now, work.request_id
+        )
+        if not outcome.is_admitted:
+            return Refuse(
+                work.request_id, admission_failure(made, outcome), made, outcome
+            )
+        return needed_s
 
     def _needed_s(self, work: Work, serving: list[str]) -> float:
         cached = self.router.prefixes.cached_tokens(work.prefix_hashes)
--- a/packages/dandelionpond/src/dandelionpond/runtime/accounts.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/accounts.py
@@ -4,6 +4,7 @@
 from expression import Error, Ok, Result
 
 from dandelionpond.config.schema import Settings
+from dandelionpond.decisions import LIMIT
 from dandelionpond.errors import Failure
 from dandelionpond.limits.limiter import AccountLimiter, Admitted, Refused
 from dandelionpond.limits.messages import DemandReport, Grant, SendDemand
@@ -31,7 +32,9 @@
         self.usage: dict[str, Usage] = {}
         core.on_settings.append(self._configure)
 
-    def admit(self, account: str, tokens: int) -> Result[Admitted, Failure]:
+    def admit(
+        self, account: str, tokens: int, request_id: str
+    ) -> Result[Admitted, Failure]:
         """Admit a request or say why it is refused."""
         now = self._core.now()
         self.shares.arrived(account, tokens, self.limiter.in_flight(account))
@@ -40,18 +43,20 @@
         # cost seconds with thousands of client accounts.
         share = self.shares.share(account, now)
         self.limiter.set_share(account, limits, share, now)
-        match self.limiter.admit(account, float(tokens), now):
+        match self.limiter.admit(account, float(tokens), now, request_id):
             case Admitted() as admitted:
                 return Ok(admitted)
-            case Refused(kind, retry_after_s):
+            case Refused(kind, retry_after_s, made) as refused:
+                if made is not None:
+                    self._core.record(LIMIT, made, refused.outcome)
                 message = f"client account {account!r} is over its limit on this node"
                 failure = Failure(kind, message, retry_after_s)
                 self.count_refusal(account, failure)
                 return Error(failure)
 
-    def admit_call(self, account: str) -> Result[Admitted, Failure]:
+    def admit_call(self, account: str, request_id: str) -> Result[Admitted, Failure]:
         """Admit a plain call, which counts for concurrency but has no tokens."""
-        return self.admit(account, 0)
+        return self.admit(account, 0, request_id)
 
     def finished(self, admitted: Admitted, used_tokens: int) -> None:
         """Record the end of a request."""
--- a/packages/dandelionpond/src/dandelionpond/runtime/calls.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/calls.py
@@ -127,7 +127,9 @@
             case Forward(issuer, incarnation, address):
                 return await self._forward(request, issuer, incarnation, address)
             case RunPlain(key):
-                admitted = self._accounts.admit_call(request.account)
+                admitted = self._accounts.admit_call(
+                    request.account, request.request_id
+                )
                 if admitted.is_error():
                     return Error(_refusal(request.key, admitted.error))
                 result = await self._attempt(request, rule, key, None, admitted.ok)
@@ -143,7 +145,7 @@
         key: str | None,
         body_hash: bytes,
     ) -> Result[CallAnswer, Failure]:
-        admitted = self._accounts.admit_call(request.account)
+        admitted = self._accounts.admit_call(request.account, request.request_id)
         if admitted.is_error():
             return Error(admitted.error)
         begun = self.tickets.begin(ticket, body_hash, self._core.now())
--- a/packages/dandelionpond/src/dandelionpond/runtime/engines.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/engines.py
@@ -6,8 +6,9 @@
 from dandelionpond.adapters.engine import EngineSessions, HttpEngineClient
 from dandelionpond.adapters.engine_api import EngineClient, EngineLoad
 from dandelionpond.config.schema import EngineUpstream, Settings
-from dandelionpond.decisions import ROUTE
+from dandelionpond.decisions import ADMISSION, ROUTE
 from dandelionpond.errors import Failure
+from dandelionpond.limits.admission import AdmissionInput
 from dandelionpond.membership.messages import UpstreamChanged
 from dandelionpond.routing.dispatcher import (
     DispatchAction,
@@ -258,8 +259,7 @@
 
     def _perform(self, actions: list[DispatchAction]) -> None:
         for action in actions:
-            if isinstance(action, Place):
-                self._record(action)
+            self._record(action)
             waiting = self._waiting.get(action.request_id)
             if waiting is not None and not waiting.done():
                 waiting.set_result(action)
@@ -268,8 +268,12 @@
                 now = self._core.now()
                 self._perform(self.dispatcher.finished(action.request_id, 0, 0.0, now))
 
-    def _record(self, place: Place) -> None:
-        self._core.record(ROUTE, place.made, place.choice)
+    def _record(self, action: DispatchAction) -> None:
+        match action:
+            case Place(made=made, choice=choice):
+                self._core.record(ROUTE, made, choice)
+            case Refuse(made=AdmissionInput() as refused, outcome=outcome):
+                self._core.record(ADMISSION, refused, outcome)
 
 
 def _queued(load: EngineLoad) -> dict[int, float]:
--- a/packages/dandelionpond/src/dandelionpond/runtime/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/prompts.py
@@ -73,7 +73,9 @@
         usage = accounts.of(request.account)
         usage.requests += 1
         admitted = accounts.admit(
-            request.account, request.prompt_tokens + request.max_tokens
+            request.account,
+            request.prompt_tokens + request.max_tokens,
+            request.request_id,
         )
         if admitted.is_error():
             self._count("refused")
--- a/packages/standins/src/dandelionpond_standins/bench/ours.py
+++ b/packages/standins/src/dandelionpond_standins/bench/ours.py
@@ -3,6 +3,7 @@
 import random
 from functools import partial
 
+from dandelionpond.errors import ErrorKind
 from dandelionpond.limits.admission import Admission, EngineWindows
 from dandelionpond.limits.limiter import AccountLimiter, Admitted
 from dandelionpond.limits.messages import Share
@@ -85,8 +86,8 @@
             arrival.prompt_tokens, arrival.prompt_tokens, now
         )
         before = node.queue.tokens_before(arrival.account, 1.0, arrival.tokens, now)
-        checked = node.admission.check(before, needed, arrival.timeout_s)
-        kind = checked.error.kind if checked.is_error() else None
+        _, outcome = node.admission.check(before, needed, arrival.timeout_s)
+        kind = None if outcome.is_admitted else ErrorKind.DEADLINE_UNREACHABLE
         if kind is None:
             item = Queued(
                 arrival.request_id,
