Hold the ports of a stack until it ends

Cause: ports were chosen by a trial bind and freed again, and a node bound them seconds later. The launcher now keeps a bound socket, which does not listen and permits reuse, on each port: nodes can bind it, also after a restart, but the trial bind of another stack fails. Ruled out: the range of outgoing connections, 32768 to 60999, does not overlap with 15000 to 31999.

--- a/packages/standins/src/dandelionpond_standins/launcher.py
+++ b/packages/standins/src/dandelionpond_standins/launcher.py
@@ -114,6 +114,24 @@
             return port
 
 
+def reserve_port() -> socket.socket:
+    """Return a socket that keeps a free port from other stacks until it is closed.
+
+    It does not listen and permits reuse, so a node, which permits reuse too, can bind
+    the port, again after a restart, while `free_port` of another process cannot.
+    """
+    while True:
+        port = free_port()
+        held = socket.socket()
+        try:
+            held.bind((HOST, port))
+        except OSError:
+            held.close()
+            continue
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        return held
+
+
 class Stack:
     """Run a platform, upstreams and nodes until the end of an `async with` block."""
 
@@ -126,6 +144,7 @@
         self.nodes: dict[str, Child] = {}
         self._folder = Path(tempfile.mkdtemp(prefix="dandelionpond-"))
         self._published = self._folder / "published"
+        self._held_ports: list[socket.socket] = []
         self._seeds: list[dict[str, str]] = []
         self._locals: dict[str, Path] = {}
         self._session: aiohttp.ClientSession | None = None
@@ -196,6 +215,8 @@
         await asyncio.gather(*(child.process.wait() for child in self.children))
         if self._session is not None:
             await self._session.close()
+        for held in self._held_ports:
+            held.close()
         shutil.rmtree(self._folder, ignore_errors=True)
 
     async def start_nodes(self) -> None:
@@ -401,14 +422,19 @@
         }
         await self.control(self.platform, "vms", [vm])
 
+    def _new_address(self) -> str:
+        held = reserve_port()
+        self._held_ports.append(held)
+        return f"{HOST}:{held.getsockname()[1]}"
+
     def _local_settings(self, name: str, domain: str) -> None:
         assert self.platform is not None
-        peer_address = f"{HOST}:{free_port()}"
+        peer_address = self._new_address()
         local = {
             "name": name,
             "failure_domain": domain,
-            "caller_address": f"{HOST}:{free_port()}",
-            "operator_address": f"{HOST}:{free_port()}",
+            "caller_address": self._new_address(),
+            "operator_address": self._new_address(),
             "peer_address": peer_address,
             "platform_url": self.platform.url,
             "operator_key_hash": hash_key(OPERATOR_KEY),
