--- a/packages/dandelionpond/src/dandelionpond/runtime/state.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/state.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from dandelionpond.node import Node
 
+# A status is a summary; the dump has all errors that the keeper keeps.
+MAX_STATUS_ERRORS = 10
 FOLLOW_INTERVAL_S = 0.2
 
 
@@ -32,6 +34,9 @@
         for peer in membership.peers:
             states[peer.state] = states.get(peer.state, 0) + 1
         refusal = core.keeper.refusal
+        if refusal is not None and refusal.revision <= core.keeper.revision:
+            # A newer valid revision ended it; the dump still has it.
+            refusal = None
         return {
             "node": core.local.name,
             "incarnation": core.identity.incarnation,
@@ -42,6 +47,10 @@
             "settings_revision": core.keeper.revision,
             "settings_digest": core.digest,
             "settings_refused": refusal.revision if refusal else None,
+            "settings_errors": [
+                msgspec.to_builtins(error)
+                for error in (refusal.errors if refusal else ())[:MAX_STATUS_ERRORS]
+            ],
             "reader": node.distribution.distribution.is_reader,
             "peers": states,
             "prompts_in_flight": node.prompts.in_flight,
