Keep an upstream out of use while the platform's list says that it leaves

Fault: an engine that answers leaving: false ended leaving by the platform's list within one poll, on each node. A rumor now says whether the list is the source (state listed); the upstream's own answer does not end that, a list that shows its return does, and that return is told to peers, where the own answer then counts again.

Fault: replacements of a placed prompt were ordered by estimate alone. In a failure domain that is cut off, engines on the other side have old, short queues; a prompt refused by a leaving engine spent its other attempts on them and failed at its deadline (20 s, deadline_after_send). Suspect engines and those with stale reports now come last.

The stand-ins count the requests that arrive.

--- a/packages/dandelionpond/src/dandelionpond/membership/messages.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/messages.py
@@ -31,7 +31,8 @@
     """Carry one observation about a node or an upstream.
 
     For a node, `heartbeat` is its counter. For an upstream, it is the version of its
-    registration and `failure_domain` is the domain of the reporter `origin`.
+    registration and `failure_domain` is the domain of the reporter `origin`; the state
+    `listed` is `leaving` by the platform's list, which its own answer does not end.
     """
 
     subject: str
--- a/packages/dandelionpond/src/dandelionpond/membership/tests/test_upstreams.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/tests/test_upstreams.py
@@ -64,6 +64,28 @@
         upstreams.answered("u1", False, 5.0)
         assert upstreams.state_of("u1") is UpstreamState.LIVE
 
+    def test_own_answer_does_not_end_what_the_list_says(self):
+        """Guard against work for an upstream that does not know yet that it stops."""
+        one, two = view(name="a"), view(name="b")
+        spread = one.platform_list(listing(5, "leaving"), 0.0)
+        [rumor] = [action.rumor for action in spread if isinstance(action, Spread)]
+        two.heard(rumor, 0.0)
+        for upstreams in (one, two):
+            upstreams.answered("u1", False, 1.0)
+            assert upstreams.state_of("u1") is UpstreamState.LEAVING
+        # After a return that the list shows, the answer counts again on both.
+        spread = one.platform_list(listing(6, "running"), 2.0)
+        [rumor] = [action.rumor for action in spread if isinstance(action, Spread)]
+        two.heard(rumor, 2.0)
+        assert two.state_of("u1") is UpstreamState.LEAVING
+        two.answered("u1", False, 3.0)
+        assert two.state_of("u1") is UpstreamState.LIVE
+        # Both have the same version, so a later stop seen by one reaches the other.
+        spread = two.answered("u1", True, 4.0)
+        [rumor] = [action.rumor for action in spread if isinstance(action, Spread)]
+        one.heard(rumor, 4.0)
+        assert one.state_of("u1") is UpstreamState.LEAVING
+
     def test_lagging_newer_list_does_not_end_leaving(self):
         """Guard against new work for a leaving upstream that the list shows running."""
         upstreams = view()
--- a/packages/dandelionpond/src/dandelionpond/membership/upstreams.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/upstreams.py
@@ -25,8 +25,10 @@
     __slots__ = (
         "address",
         "domain",
+        "heard_return",
         "is_gone",
         "is_leaving",
+        "is_listed",
         "is_removed",
         "reports",
         "state",
@@ -38,6 +40,11 @@
         self.domain = domain
         self.version = version
         self.is_leaving = False
+        # The platform's list, here or on a peer, says that it is leaving. The upstream
+        # itself may not know that yet, so its own answer does not end this.
+        self.is_listed = False
+        # Version of a return that a peer announced while it was away here, or 0.
+        self.heard_return = 0
         self.is_gone = False
         self.is_removed = False
         # Reporter to (failure domain of the reporter, time of the report).
@@ -95,6 +102,7 @@
             "reports_full": 0,
             "stale_lists": 0,
             "old_rumors": 0,
+            "listed_leaving": 0,
         }
 
     def state_of(self, upstream: str) -> UpstreamState | None:
@@ -163,7 +171,8 @@
             entry.address = vm.address
             entry.was_away |= entry.is_away and is_moved
             if vm.state == "leaving":
-                if not entry.is_leaving:
+                if not entry.is_leaving or not entry.is_listed:
+                    entry.is_listed = True
                     self._leave(vm.name, entry, actions)
                 entry.was_away = True
             elif vm.state == "gone":
@@ -176,7 +185,11 @@
     def answered(
         self, upstream: str, is_leaving: bool, now: float
     ) -> list[UpstreamAction]:
-        """Take in an upstream's own answer to a request sent after the last change."""
+        """Take in an upstream's own answer to a request sent after the last change.
+
+        It ends what the upstream itself said, but not what the platform's list says:
+        an upstream may learn later than the list that it is to stop.
+        """
         entry = self._upstreams.get(upstream)
         actions: list[UpstreamAction] = []
         if entry is None:
@@ -185,8 +198,12 @@
             if not entry.is_leaving:
                 self._leave(upstream, entry, actions)
             return actions
+        if entry.is_listed:
+            self.counts["listed_leaving"] += 1
+            return actions
         if entry.is_away:
-            self._return(upstream, entry, entry.version + 1, actions)
+            version = max(entry.version + 1, entry.heard_return)
+            self._return(upstream, entry, version, actions)
         if upstream in self._reported:
             actions += self.trusted(upstream, now)
         return actions
@@ -203,7 +220,7 @@
         if upstream not in self._reported or now >= self._refresh_at[upstream]:
             self._reported.add(upstream)
             self._refresh_at[upstream] = now + self._settings.suspicion_ttl_s / 3
-            actions.append(self._report(upstream, UpstreamState.SUSPECT, entry))
+            actions.append(self._report(upstream, "suspect", entry))
         return actions
 
     def trusted(self, upstream: str, now: float) -> list[UpstreamAction]:
@@ -214,7 +231,7 @@
             return actions
         self._withdraw(upstream, entry)
         self._decide(upstream, entry, actions)
-        actions.append(self._report(upstream, UpstreamState.LIVE, entry))
+        actions.append(self._report(upstream, "live", entry))
         return actions
 
     def heard(self, rumor: Rumor, now: float) -> list[UpstreamAction]:
@@ -232,12 +249,22 @@
             entry.version = rumor.heartbeat
             if rumor.state == "live":
                 actions.append(Spread(rumor))
+        if (
+            rumor.state == "live"
+            and max(entry.version, entry.heard_return) < rumor.heartbeat
+        ):
+            # Not a return here yet, but its own answer counts again.
+            entry.heard_return = rumor.heartbeat
+            entry.is_listed = False
+            actions.append(Spread(rumor))
         held = entry.reports.get(rumor.origin)
         match rumor.state:
-            case "leaving":
-                if not entry.is_leaving or rumor.heartbeat > entry.version:
+            case "leaving" | "listed":
+                is_news = rumor.state == "listed" and not entry.is_listed
+                if not entry.is_leaving or is_news or rumor.heartbeat > entry.version:
                     entry.version = rumor.heartbeat
                     entry.is_leaving = True
+                    entry.is_listed |= rumor.state == "listed"
                     actions.append(Spread(rumor))
             case "suspect":
                 # A relayed copy within a third of the time to live is a duplicate.
@@ -293,29 +320,32 @@
     ) -> None:
         entry.is_leaving = True
         self._decide(name, entry, actions)
-        actions.append(self._report(name, UpstreamState.LEAVING, entry))
+        state = "listed" if entry.is_listed else "leaving"
+        actions.append(self._report(name, state, entry))
 
     def _return(
         self, name: str, entry: _Upstream, version: int, actions: list[UpstreamAction]
     ) -> None:
         entry.version = version
         entry.is_leaving = entry.is_gone = entry.was_away = False
+        entry.is_listed = False
+        entry.heard_return = 0
         entry.reports.clear()
         self._withdraw(name, entry)
         self._decide(name, entry, actions)
-        actions.append(self._report(name, UpstreamState.LIVE, entry))
+        actions.append(self._report(name, "live", entry))
 
     def _withdraw(self, name: str, entry: _Upstream) -> None:
         entry.reports.pop(self._name, None)
         self._reported.discard(name)
         self._refresh_at.pop(name, None)
 
-    def _report(self, name: str, state: UpstreamState, entry: _Upstream) -> Spread:
+    def _report(self, name: str, state: str, entry: _Upstream) -> Spread:
         return Spread(
             Rumor(
                 name,
                 "upstream",
-                state.value,
+                state,
                 heartbeat=entry.version,
                 failure_domain=self._domain,
                 origin=self._name,
--- a/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
@@ -375,8 +375,15 @@
         choice = choose(request, candidates, policy, self._seed)
         if choice.engine is None:
             return False
+        # An engine that is out of touch shows an old short queue, so its estimate alone
+        # would put it before engines that answer.
+        doubtful = {
+            one.engine
+            for one in choice.refused
+            if one.reason in ("suspect", "stale_report")
+        }
         others = sorted(
-            (estimate_ttft(request, one), one.engine)
+            (one.engine in doubtful, estimate_ttft(request, one), one.engine)
             for one in candidates
             if one.engine != choice.engine
             and one.state in ("live", "suspect")
@@ -385,7 +392,7 @@
         self._chosen = Place(
             work.request_id,
             choice.engine,
-            tuple(name for _, name in others),
+            tuple(name for *_, name in others),
             level,
             choice.ttft_s,
             request,
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/routing/tests/test_replacements.py
@@ -0,0 +1,29 @@
+"""Test the engines that a placed prompt may move to."""
+
+from dandelionpond.config.schema import EngineUpstream, Settings
+from dandelionpond.routing.dispatcher import Dispatcher, Place, Work
+from dandelionpond.routing.load import LoadReport
+
+
+class TestReplacements:
+    def test_engines_out_of_touch_come_last(self):
+        """Guard against a prompt that spends its attempts on unreachable engines."""
+        engines = {
+            name: EngineUpstream("d", "http://127.0.0.1:1", ("m",))
+            for name in ("a", "b", "far-1", "far-2")
+        }
+        dispatcher = Dispatcher("n", Settings(), 1, 0.0)
+        dispatcher.configure(Settings(), engines, 0.0)
+        for name, at, queued in (
+            ("far-1", 0.0, 0.0),
+            ("far-2", 0.0, 0.0),
+            ("a", 100.0, 4_000.0),
+            ("b", 100.0, 4_000.0),
+        ):
+            report = LoadReport(name, 0.0, {0: queued}, 0.0, 0)
+            dispatcher.loads.report(report, at)
+        work = Work("r", "acme", 1.0, "m", 200, 8, 160.0)
+        [place] = dispatcher.arrive(work, 100.0)
+        assert isinstance(place, Place)
+        assert {place.engine, place.others[0]} == {"a", "b"}
+        assert set(place.others[1:]) == {"far-1", "far-2"}
--- a/packages/standins/src/dandelionpond_standins/engine.py
+++ b/packages/standins/src/dandelionpond_standins/engine.py
@@ -62,6 +62,7 @@
         self.faults = Faults()
         self._model = model
         self._orders = orders
+        self._received = 0
         self._any_model = not orders.report(0.0)["models"]
         self._speed = speed
         self._start = time.monotonic()
@@ -96,6 +97,7 @@
 
     async def generate(self, request: Request) -> Response:
         """Start a request and stream its answer."""
+        self._received += 1
         if self.faults.leaving:
             return answer(503, {"leaving": True, "execution": "not_run"})
         body = decode(await request.body(), Generate)
@@ -252,7 +254,10 @@
         return answer(200, self._orders.report(self.now))
 
     async def control(self, request: Request) -> Response:
-        """Set faults: `leave`, `clear`, `stream`, or any other field of `Faults`."""
+        """Set faults: `leave`, `clear`, `stream`, or any other field of `Faults`.
+
+        `received` answers the number of calls of `/v1/generate`, refused ones included.
+        """
         name = request.path_params["name"]
         value = json.loads(await request.body() or b"null")
         match name:
@@ -260,6 +265,8 @@
                 self.faults.leaving = True if value is None else bool(value)
             case "clear":
                 self.faults = Faults()
+            case "received":
+                return answer(200, {"received": self._received})
             case "stream":
                 self.faults.stream = msgspec.convert(value, StreamFault)
             case _ if name in Faults.__struct_fields__:
--- a/packages/standins/src/dandelionpond_standins/service.py
+++ b/packages/standins/src/dandelionpond_standins/service.py
@@ -55,7 +55,14 @@
     At `MAX_KEPT` a call is refused with 503, so that no execution goes uncounted.
     """
 
-    __slots__ = ("_answers", "_deduplicate", "_faults", "_name", "executions")
+    __slots__ = (
+        "_answers",
+        "_deduplicate",
+        "_faults",
+        "_name",
+        "executions",
+        "received",
+    )
 
     def __init__(self, name: str, deduplicate: bool = False) -> None:
         self._name = name
@@ -63,6 +70,8 @@
         self._faults: deque[Fault] = deque()
         self._answers: dict[str, bytes] = {}
         self.executions: list[Execution] = []
+        # Calls that arrived, refused ones included.
+        self.received = 0
 
     def run(self, request_id: str, key: str | None, body: bytes) -> bytes:
         """Execute a call, or return the kept answer of a key seen before."""
@@ -90,10 +99,12 @@
             ):
                 if value is not None:
                     counts[table][value] = counts[table].get(value, 0) + 1
-        return {"total": len(self.executions), **counts}
+        total = len(self.executions)
+        return {"total": total, "received": self.received, **counts}
 
     async def call(self, request: Request) -> Response:
         """Answer one call, with the next fault if one is set."""
+        self.received += 1
         fault = self._next_fault()
         name = fault.fault if fault else None
         if name == "reset_before":
