Hear leaving workers, suspect failing ones and answer for tickets while draining

Plain services answered X-Leaving and nobody read it: red, state live beside leaving after 3 s. The adapter passes it on. Workers were never suspected: red, TimeoutError after 40 s in both tests of TestSuspicion. Refused connections raise the node's suspicion at once, two late or broken answers in a row too; an answer, a connection that stays open or the report's expiry withdraws it. A deadline shorter than the service's time proves nothing.

Fault: while a stopping issuer waited for its streams, it answered key_unresolved (may_have_run) for each of its tickets, red: 503 in place of the recorded 200. Its book is now closed when admission stops: no run begins after that, so draining (not_run) is true for an unused ticket, and a used one gets its outcome.

--- a/packages/dandelionpond/src/dandelionpond/adapters/service.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/service.py
@@ -39,10 +39,14 @@
     """Run one attempt of a plain call on one worker."""
 
     async def call(
-        self, request: ServiceRequest, may_send: Callable[[], bool]
+        self,
+        request: ServiceRequest,
+        may_send: Callable[[], bool],
+        leaving: Callable[[], None] | None = None,
     ) -> Result[Outcome, Failure]:
         """Return the answer, or a failure whose execution state is certain.
 
+        `leaving` is called if the worker's answer says that it is about to stop.
         `may_send` is called once, in the loop step before the first byte can leave. If
         it returns False, nothing is sent and the failure is `deadline_before_send`.
         Errors: `upstream_unreachable`, `deadline_before_send` and `upstream_refused`
@@ -122,14 +126,17 @@
         await self._pooled.close()
 
     async def call(
-        self, request: ServiceRequest, may_send: Callable[[], bool]
+        self,
+        request: ServiceRequest,
+        may_send: Callable[[], bool],
+        leaving: Callable[[], None] | None = None,
     ) -> Result[Outcome, Failure]:
         """Run one attempt; see `ServiceClient.call`."""
         handover = _Handover(may_send)
         token = _handover.set(handover)
         try:
             async with self._timeout(request.timeout_s):
-                return await self._exchange(request)
+                return await self._exchange(request, leaving)
         except _NotSentError:
             return _error(ErrorKind.DEADLINE_BEFORE_SEND, "too late to send")
         except TimeoutError as error:
@@ -150,7 +157,9 @@
         finally:
             _handover.reset(token)
 
-    async def _exchange(self, request: ServiceRequest) -> Result[Outcome, Failure]:
+    async def _exchange(
+        self, request: ServiceRequest, leaving: Callable[[], None] | None
+    ) -> Result[Outcome, Failure]:
         headers = {
             "X-Request-Id": request.request_id,
             "Content-Type": request.content_type,
@@ -166,6 +175,8 @@
             if response.headers.get("X-Request-Id") != request.request_id:
                 response.close()
                 return _error(ErrorKind.UPSTREAM_INVALID, "answer to another request")
+            if leaving is not None and response.headers.get("X-Leaving") == "true":
+                leaving()
             bound = self._settings.max_answer_bytes
             body = bytearray()
             async for chunk in response.content.iter_any():
--- a/packages/dandelionpond/src/dandelionpond/adapters/tests/test_service.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/tests/test_service.py
@@ -91,7 +91,7 @@
             actions = call.handle(event, rule, clock.monotonic())
         return call, self.standin.count()["by_body"].get(name, 0)
 
-    async def call(self, may_send=lambda: True, give_up=None, **fields):
+    async def call(self, may_send=lambda: True, give_up=None, leaving=None, **fields):
         self.calls += 1
         self.standin.ran.clear()
         arrived = {"ran": self.standin.ran, "dropped": self.relay.dropped}.get(give_up)
@@ -104,7 +104,7 @@
             600.0,
             **fields,
         )
-        result = await self.client.call(request, may_send)
+        result = await self.client.call(request, may_send, leaving)
         if watcher is not None:
             await watcher
         return request.request_id, result
@@ -194,6 +194,19 @@
         request_id, result = runner.run(world.call(new_connection=new_connection))
         assert msgspec.json.decode(result.ok.body)["request_id"] == request_id
 
+    @pytest.mark.parametrize("trusted", [True, False])
+    def test_leaving_is_passed_on(self, runner, world, trusted):
+        """Guard against a stop that the worker announces and nobody hears."""
+        heard = []
+
+        def leaving():
+            heard.append(True)
+
+        runner.run(world.call(leaving=leaving))
+        world.add("leaving")
+        runner.run(world.call(leaving=leaving, states_not_run=trusted))
+        assert heard == [True]
+
     def test_refused_connection_did_not_run(self, runner, world):
         """Guard against doubt about a call that got no connection."""
         runner.run(world.relay.apply(Rule(refuse=True)))
--- a/packages/dandelionpond/src/dandelionpond/node.py
+++ b/packages/dandelionpond/src/dandelionpond/node.py
@@ -270,7 +270,7 @@
 
     async def _stop_admission(self) -> None:
         self._accepting = False
-        self.calls.accepting = False
+        self.calls.stop_admission()
         assert self._callers is not None
         await self._callers.stop()
 
--- a/packages/dandelionpond/src/dandelionpond/requests/tests/test_ticket_book.py
+++ b/packages/dandelionpond/src/dandelionpond/requests/tests/test_ticket_book.py
@@ -156,6 +156,21 @@
         refusal = owner.begin(found.ticket, b"h", 10.0).error
         assert refusal.failure.kind is ErrorKind.TICKET_EXPIRED
 
+    def test_closed_book_begins_nothing_and_keeps_outcomes(self):
+        """Guard against `not_run` for a ticket that a stopping issuer still runs."""
+        owner = book()
+        used, unused = (owner.issue("acme", "pay", 0.0) for _ in range(2))
+        ticket, run = begin(owner, used)
+        never = owner.classify(unused, "acme", "pay", PAY, b"h", 0.0).ticket
+        owner.close()
+        assert kind(owner, used) is ErrorKind.CALL_IN_PROGRESS
+        owner.finish(ticket, run, msg.Outcome(200, b"paid"), 1.0)
+        found = owner.classify(used, "acme", "pay", PAY, b"h", 2.0)
+        assert found == msg.Recorded(msg.Outcome(200, b"paid"))
+        refused = owner.begin(never, b"h", 2.0).error.failure
+        assert refused.kind is ErrorKind.DRAINING
+        assert refused.execution is Execution.NOT_RUN
+
     def test_refusal_of_a_forwarder_stays_in_doubt(self):
         """Guard against `not_run` from a node that cannot look the ticket up."""
         draining = Failure(ErrorKind.DRAINING, "stopping")
--- a/packages/dandelionpond/src/dandelionpond/requests/ticket_book.py
+++ b/packages/dandelionpond/src/dandelionpond/requests/ticket_book.py
@@ -56,6 +56,7 @@
         "_entries",
         "_expiries",
         "_identity",
+        "_is_closed",
         "_outcome_bytes",
         "_peer_address",
         "_random",
@@ -80,6 +81,7 @@
         self._entries: dict[str, _Entry] = {}
         self._expiries: list[tuple[float, str]] = []
         self._outcome_bytes = 0
+        self._is_closed = False
         self.counters = TicketCounters()
 
     @property
@@ -96,6 +98,13 @@
         """Take new settings; tickets keep the expiry that they were issued with."""
         self._settings = settings
 
+    def close(self) -> None:
+        """Begin no further run; there is no way back.
+
+        A ticket that has not run by then never will, so `not_run` is certain for it.
+        """
+        self._is_closed = True
+
     def issue(self, account: str, service: str, now: float) -> str:
         """Return a new ticket as text; it takes no memory until it is used."""
         self.counters.issued += 1
@@ -169,6 +178,8 @@
                 return Error(Refuse(found))
             case Outcome():
                 return Error(Recorded(found))
+        if self._is_closed:
+            return Error(_refuse(ErrorKind.DRAINING, "the issuer is shutting down"))
         entry = self._entries.get(ticket.nonce)
         if entry is not None:
             entry.run += 1
--- a/packages/dandelionpond/src/dandelionpond/runtime/calls.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/calls.py
@@ -42,6 +42,7 @@
 from dandelionpond.runtime.accounts import Accounts
 from dandelionpond.runtime.core import Core
 from dandelionpond.runtime.gossip import Gossip
+from dandelionpond.runtime.suspicion import WorkerSuspicion
 
 EXPIRE_INTERVAL_S = 1.0
 # Time that a forwarded call leaves for the way back from the issuer.
@@ -60,6 +61,7 @@
         self._gossip = gossip
         self._peers = peers
         self._client: ServiceClient = HttpServiceClient(settings)
+        self._suspicion = WorkerSuspicion(core, gossip)
         self.budgets = RetryBudgets(settings)
         # The secret never leaves this process, so only this incarnation can verify
         # the tickets that it issued.
@@ -75,9 +77,15 @@
         core.on_settings.append(self._configure)
 
     def start(self) -> None:
-        """Start the timer that removes expired tickets."""
+        """Start the timers."""
+        self._suspicion.start()
         self._core.tasks.every(lambda: EXPIRE_INTERVAL_S, self._expire, "tickets")
 
+    def stop_admission(self) -> None:
+        """Refuse forwarded calls and begin no further ticket."""
+        self.accepting = False
+        self.tickets.close()
+
     async def close(self) -> None:
         """Close all connections."""
         assert isinstance(self._client, HttpServiceClient)
@@ -232,9 +240,6 @@
         if account is None:
             failure = Failure(ErrorKind.NOT_PERMITTED, "unknown client account")
             return Error(while_key_unknown(failure))
-        if not self.accepting:
-            failure = Failure(ErrorKind.DRAINING, "the issuer is shutting down")
-            return Error(while_key_unknown(failure))
         rule = settings.services.get(request.service)
         decided = (
             self.tickets.classify(
@@ -248,6 +253,9 @@
             if rule is not None
             else None
         )
+        if not self.accepting and isinstance(decided, RunPlain):
+            failure = Failure(ErrorKind.DRAINING, "the issuer is shutting down")
+            return Error(while_key_unknown(failure))
         # A forwarded call is never forwarded again: two nodes that each believe the
         # other one to be the issuer would pass it on for ever.
         if isinstance(decided, Forward):
@@ -275,7 +283,9 @@
             request.deadline,
             send_until,
         )
-        run = _CallRun(self._core, self._client, request, call, key)
+        run = _CallRun(
+            self._core, self._client, self._gossip, self._suspicion, request, call, key
+        )
         try:
             return await run.result()
         finally:
@@ -313,12 +323,17 @@
         self,
         core: Core,
         client: ServiceClient,
+        gossip: Gossip,
+        suspicion: WorkerSuspicion,
         request: CallRequest,
         call: Call,
         key: str | None,
     ) -> None:
         self._core = core
         self._client = client
+        self._gossip = gossip
+        self._suspicion = suspicion
+        self._workers: dict[int, str] = {}
         self._request = request
         self._call = call
         self._key = key
@@ -332,10 +347,13 @@
             for action in self._handle(event):
                 match action:
                     case SendCall():
+                        self._workers[action.attempt] = action.worker
                         self._tasks[action.attempt] = self._core.tasks.spawn(
                             self._send(action), "plain-call"
                         )
                     case CancelCall(attempt):
+                        if self._core.now() < self._request.deadline:
+                            self._suspicion.unanswered(self._workers[attempt])
                         self._tasks[attempt].cancel()
                     case AnswerCall(outcome):
                         return Ok(outcome)
@@ -380,7 +398,13 @@
                 rule.states_not_run,
             ),
             may_send,
+            lambda: self._gossip.upstream_answered(action.worker, True),
         )
+        if result.is_ok():
+            self._suspicion.answered(action.worker)
+        else:
+            is_overdue = self._core.now() >= self._request.deadline
+            self._suspicion.failed(action.worker, result.error.kind, is_overdue)
         self._queue.put_nowait(ended(attempt, action.request_id, result))
 
 
