--- a/packages/dandelionpond/src/dandelionpond/runtime/distribution.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/distribution.py
@@ -5,7 +5,15 @@
 
 from dandelionpond.adapters.platform import Folder, PlatformClient, Value, read_folder
 from dandelionpond.config.distribution import Distribution
-from dandelionpond.config.keeper import Accepted, FileContent, ManifestEntry, Refused
+from dandelionpond.config.keeper import (
+    Accepted,
+    FileContent,
+    FolderDelta,
+    ManifestEntry,
+    Refused,
+    SettingsKeeper,
+    content_hash,
+)
 from dandelionpond.config.messages import (
     Action,
     Announce,
@@ -26,7 +34,8 @@
 )
 from dandelionpond.config.schema import Settings
 from dandelionpond.peer.client import PeerClient
-from dandelionpond.peer.messages import FetchReply, FetchRequest
+from dandelionpond.peer.messages import FetchedFile, FetchReply, FetchRequest
+from dandelionpond.peer.translate import deflate, inflate
 from dandelionpond.runtime.core import Core
 
 TICK_S = 0.25
@@ -56,6 +65,7 @@
         self._peers = peers
         self._address_of = address_of
         self._announce = announce
+        self.counters = {"delta_requests": 0, "full_requests": 0, "damaged": 0}
         self._values: dict[str, Value] = {}
         self._folders: dict[int, tuple[int, dict[str, bytes]]] = {}
         self.distribution = Distribution(
@@ -122,18 +132,44 @@
         if address is None:
             self.handle(PeerFailed(call))
             return
-        held = self._core.keeper.held_hashes()
-        request = FetchRequest(self._core.identity, held)
-        result = await self._peers.fetch_settings(address, request)
-        files = self._assemble(result.ok) if result.is_ok() else None
-        if files is None:
+        reply = await self._fetch_reply(address)
+        files = self._assemble(reply) if reply is not None else None
+        if reply is None or files is None:
             self.handle(PeerFailed(call))
             return
-        self._keep(call, result.ok.revision, files)
-        self.handle(PeerFetched(call, result.ok.revision))
+        self._keep(call, reply.revision, files)
+        self.handle(PeerFetched(call, reply.revision))
+
+    async def _fetch_reply(self, address: str) -> FetchReply | None:
+        """Return the changes since the folder in force, or else the full form."""
+        identity, keeper = self._core.identity, self._core.keeper
+        base = keeper.folder_hash
+        if base:
+            self.counters["delta_requests"] += 1
+            request = FetchRequest(identity, base_folder_hash=base)
+            result = await self._peers.fetch_settings(address, request)
+            if result.is_error():
+                return None
+            if not result.ok.is_base_unknown:
+                return result.ok
+        self.counters["full_requests"] += 1
+        request = FetchRequest(identity, keeper.held_hashes())
+        result = await self._peers.fetch_settings(address, request)
+        return result.ok if result.is_ok() else None
 
     def _assemble(self, reply: FetchReply) -> dict[str, bytes] | None:
         """Return all files of a reply, or None if one lacks or has other bytes."""
+        if reply.base_folder_hash:
+            try:
+                changed = tuple(self._content(file) for file in reply.files)
+            except ValueError:
+                self.counters["damaged"] += 1
+                return None
+            delta = FolderDelta(
+                reply.base_folder_hash, reply.folder_hash, changed, reply.removed
+            )
+            applied = self._core.keeper.apply(delta)
+            return applied.ok if applied.is_ok() else None
         manifest = [ManifestEntry(file.name, file.hash, 0) for file in reply.files]
         received = [
             FileContent(file.name, file.hash, file.content)
@@ -143,6 +179,16 @@
         result = self._core.keeper.assemble(manifest, received)
         return result.ok if result.is_ok() else None
 
+    def _content(self, file: FetchedFile) -> FileContent:
+        """Return a changed file; raise `ValueError` if it cannot be rebuilt."""
+        content = file.content or b""
+        if file.dictionary:
+            former = self._core.keeper.held(file.dictionary)
+            if former is None:
+                raise ValueError(f"{file.name}: the dictionary is not held")
+            content = inflate(content, former)
+        return FileContent(file.name, file.hash, content)
+
     def _keep(self, call: int, revision: int, files: dict[str, bytes]) -> None:
         self._folders[call] = (revision, files)
         while len(self._folders) > MAX_FOLDERS:
@@ -163,3 +209,34 @@
             case _:
                 outcome = Outcome.STALE
         self.handle(Offered(revision, outcome, self._core.digest))
+
+
+def _changed_file(file: FileContent) -> FetchedFile:
+    """Return a file as the difference from what the peer holds, if that is known."""
+    if not file.former:
+        return FetchedFile(file.name, file.hash, file.content)
+    content = deflate(file.content, file.former)
+    return FetchedFile(file.name, file.hash, content, content_hash(file.former))
+
+
+def fetch_reply(keeper: SettingsKeeper, request: FetchRequest) -> FetchReply:
+    """Return what a peer needs to hold the folder in force.
+
+    A peer that names its folder gets the changes since, without the hash of each file;
+    one whose folder is not among the recent ones is asked for the hashes it holds.
+    """
+    if request.base_folder_hash:
+        delta = keeper.changes_since(request.base_folder_hash)
+        if delta is None or not keeper.revision:
+            return FetchReply(keeper.revision, is_base_unknown=True)
+        changed = tuple(_changed_file(file) for file in delta.changed)
+        return FetchReply(
+            keeper.revision, changed, delta.base, delta.folder_hash, delta.removed
+        )
+    missing = {file.hash: file for file in keeper.missing(request.held_hashes)}
+    files = []
+    for entry in keeper.manifest():
+        found = missing.get(entry.hash)
+        content = found.content if found else None
+        files.append(FetchedFile(entry.name, entry.hash, content))
+    return FetchReply(keeper.revision, tuple(files))
