Give a retried call the outcome of its running first try

Cause, each red in packages/standins/tests/test_proof_calls.py before the change: - a second try met call_in_progress at once (statuses 200, 409, 409, 409 for four tries at once) and had to guess when to come back; - when the forwarding node died, gRPC cancelled the issuer's handler and the ticket answered 'internal' for ever although the payment had run and been answered; - a plain key was passed to a de-duplicating service as it came, so the second client account with the key 'order-1' got the first account's answer and its own order was not run (equal bodies, execution 1 for both); - max_in_flight bounded prompts but not plain calls.

Now a try that finds its ticket's call running waits for the outcome until its own deadline, counted for its client account. A forwarded call is shielded from the cancellation of its handler. A plain key goes to the service as 'account|key'; the character | cannot be part of an account's name. Calls over max_in_flight are refused.

A process that was stopped read waiting messages with a fresh deadline, so a call could be sent after its caller had given up.

Ruled out: an absolute deadline in wall time, because a clock that is off would refuse every forwarded call.

Counters: slice 'calls' and slice 'pauses'. The order of caller_urls follows names; it followed the order of starts, which differs between runs.

--- a/packages/dandelionpond/src/dandelionpond/http/callers.py
+++ b/packages/dandelionpond/src/dandelionpond/http/callers.py
@@ -146,7 +146,7 @@
         if granted.is_error():
             return Error(granted.error)
         account = settings.client_accounts[name.ok]
-        deadline = self._gateway.now() + granted.ok
+        deadline = self._gateway.arrived_at() + granted.ok
         return Ok(Caller(request_id, name.ok, account, settings, deadline))
 
     async def _completion(self, request: Request, caller: Caller) -> Answered:
--- a/packages/dandelionpond/src/dandelionpond/http/gateway.py
+++ b/packages/dandelionpond/src/dandelionpond/http/gateway.py
@@ -95,6 +95,13 @@
         """Return the node's monotonic time in seconds."""
         ...
 
+    def arrived_at(self) -> float:
+        """Return when a request that is read now can have arrived at the earliest.
+
+        This is before `now` if the process was paused and read nothing.
+        """
+        ...
+
     def prompt(self, request: PromptRequest) -> AsyncIterator[Delta | End | Failure]:
         """Run a prompt; closing the iterator cancels it."""
         ...
--- a/packages/dandelionpond/src/dandelionpond/http/tests/fakes.py
+++ b/packages/dandelionpond/src/dandelionpond/http/tests/fakes.py
@@ -55,6 +55,9 @@
     def now(self):
         return SystemClock().monotonic()
 
+    def arrived_at(self):
+        return self.now()
+
     async def prompt(self, request: PromptRequest):
         self.prompts += 1
         try:
--- a/packages/dandelionpond/src/dandelionpond/node.py
+++ b/packages/dandelionpond/src/dandelionpond/node.py
@@ -41,6 +41,7 @@
 )
 from dandelionpond.peer.server import PeerServer
 from dandelionpond.peer.settings import PeerSettings
+from dandelionpond.requests.pauses import TICK_S as PAUSE_TICK_S
 from dandelionpond.runtime.accounts import Accounts
 from dandelionpond.runtime.calls import CallRunner
 from dandelionpond.runtime.core import Core, new_identity
@@ -134,6 +135,10 @@
         """Return the monotonic time in seconds."""
         return self._core.now()
 
+    def arrived_at(self) -> float:
+        """Return when a request that is read now can have arrived at the earliest."""
+        return self._core.arrived_at()
+
     async def prompt(
         self, request: PromptRequest
     ) -> AsyncIterator[Delta | End | Failure]:
@@ -228,6 +233,8 @@
             raise OSError(0, f"{local.peer_address}: {error}") from None
         await self._operators.start()
         await self._callers.start()
+        tasks = self._core.tasks
+        tasks.every(lambda: PAUSE_TICK_S, self._core.tick_pauses, "pauses")
         self.gossip.start()
         self.distribution.start()
         self.vms.start()
--- a/packages/dandelionpond/src/dandelionpond/runtime/calls.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/calls.py
@@ -4,48 +4,59 @@
 import hashlib
 import secrets
 
+import msgspec
 from expression import Error, Ok, Result
 
-from dandelionpond.adapters.service import (
-    HttpServiceClient,
-    ServiceClient,
-    ServiceRequest,
-)
+from dandelionpond.adapters.service import HttpServiceClient, ServiceClient
 from dandelionpond.config.schema import Service, ServiceUpstream, Settings
-from dandelionpond.errors import ErrorKind, Failure
+from dandelionpond.errors import ErrorKind, Execution, Failure
 from dandelionpond.hashing import top
 from dandelionpond.http.gateway import CallAnswer, CallRequest, IssuedTicket
 from dandelionpond.limits.limiter import Admitted
 from dandelionpond.peer.client import PeerClient
 from dandelionpond.peer.messages import CallOutcome, ForwardedCall
 from dandelionpond.requests.budget import RetryBudgets
-from dandelionpond.requests.call import Call, ended
+from dandelionpond.requests.call import Call
 from dandelionpond.requests.messages import (
-    AnswerCall,
-    CallAction,
-    CallEvent,
-    CancelCall,
-    ConnectFailed,
-    FailCall,
+    Classification,
     Forward,
     Outcome,
     Recorded,
     Refuse,
     RunPlain,
     RunTicket,
-    SendCall,
-    Started,
-    Tick,
 )
-from dandelionpond.requests.ticket import Ticket
+from dandelionpond.requests.ticket import Ticket, decode
 from dandelionpond.requests.ticket_book import TicketBook, while_key_unknown
 from dandelionpond.runtime.accounts import Accounts
+from dandelionpond.runtime.call_run import CallRun
 from dandelionpond.runtime.core import Core
 from dandelionpond.runtime.gossip import Gossip
 
 EXPIRE_INTERVAL_S = 1.0
 # Time that a forwarded call leaves for the way back from the issuer.
 FORWARD_MARGIN_S = 0.05
+# Time after which a call that met a full node may come again, in seconds.
+FULL_RETRY_S = 1.0
+
+
+class CallCounters(msgspec.Struct):
+    """Count what happened to the calls that this node itself decided.
+
+    `waited` tries found their ticket's call running, and `repeated` ones got an outcome
+    of an earlier try. `late_events` came after their call had ended.
+    """
+
+    ran: int = 0
+    not_run: int = 0
+    may_have_run: int = 0
+    repeated: int = 0
+    waited: int = 0
+    forwarded: int = 0
+    issuer_unreachable: int = 0
+    forwarder_gone: int = 0
+    refused_full: int = 0
+    late_events: int = 0
 
 
 class CallRunner:
@@ -70,6 +81,9 @@
             settings,
             core.random,
         )
+        # The ends of the running calls by the nonce of their ticket.
+        self._running: dict[str, asyncio.Future[Outcome | Failure]] = {}
+        self.counters = CallCounters()
         self.in_flight = 0
         self.accepting = True
         core.on_settings.append(self._configure)
@@ -91,6 +105,11 @@
 
     async def run(self, request: CallRequest) -> Result[CallAnswer, Failure]:
         """Run a caller's call, here or at the issuer of its ticket."""
+        if self.in_flight >= self._core.settings.requests.max_in_flight:
+            self.counters.refused_full += 1
+            message = "this node has too many calls in flight"
+            failure = Failure(ErrorKind.OVERLOADED, message, FULL_RETRY_S)
+            return Error(_refusal(request.key, failure))
         self.in_flight += 1
         self._core.metrics.in_flight.labels("call").set(self.in_flight)
         try:
@@ -106,47 +125,107 @@
         return answer
 
     async def _run(self, request: CallRequest) -> Result[CallAnswer, Failure]:
+        decided = self._classify(request)
+        if isinstance(decided, Forward):
+            result = await self._forward(
+                request, decided.issuer, decided.incarnation, decided.peer_address
+            )
+            kind = result.error.kind if result.is_error() else None
+            self.counters.forwarded += 1
+            self.counters.issuer_unreachable += kind is ErrorKind.ISSUER_UNREACHABLE
+            return result
+        while _is_running(decided):
+            # The caller wants the outcome and cannot know when to ask again.
+            end = await self._wait(request)
+            if end is not None:
+                return self._counted(end)
+            if self._core.now() >= request.deadline:
+                break
+            decided = self._classify(request)
+        match decided:
+            case Refuse(failure):
+                return self._counted(Error(failure))
+            case Recorded(outcome):
+                return self._counted(Ok(_answer(outcome, repeated=True)))
+            case RunPlain(key):
+                rule = self._core.settings.services[request.service]
+                admitted = self._accounts.admit_call(request.account)
+                if admitted.is_error():
+                    return self._counted(Error(_refusal(request.key, admitted.error)))
+                # The service must not take equal keys of two accounts for one.
+                scoped = None if key is None else f"{request.account}|{key}"
+                result = await self._attempt(request, rule, scoped, None, admitted.ok)
+                return self._counted(result.map(_answer))
+            case RunTicket(ticket, key):
+                return self._counted(await self._run_ticket(request, ticket, key))
+        raise AssertionError(decided)
+
+    def _classify(self, request: CallRequest) -> Classification:
         rule = self._core.settings.services.get(request.service)
         if rule is None:
             message = f"service {request.service!r} was removed"
-            return Error(Failure(ErrorKind.UNKNOWN_SERVICE, message))
-        body_hash = _hash(request.body)
-        decided = self.tickets.classify(
+            failure = Failure(ErrorKind.UNKNOWN_SERVICE, message)
+            return Refuse(_refusal(request.key, failure))
+        return self.tickets.classify(
             request.key,
             request.account,
             request.service,
             rule,
-            body_hash,
+            _hash(request.body),
             self._core.now(),
         )
-        match decided:
-            case Refuse(failure):
-                return Error(failure)
-            case Recorded(outcome):
-                return Ok(_answer(outcome, repeated=True))
-            case Forward(issuer, incarnation, address):
-                return await self._forward(request, issuer, incarnation, address)
-            case RunPlain(key):
-                admitted = self._accounts.admit_call(request.account)
-                if admitted.is_error():
-                    return Error(_refusal(request.key, admitted.error))
-                result = await self._attempt(request, rule, key, None, admitted.ok)
-                return result.map(_answer)
-            case RunTicket(ticket, key):
-                return await self._run_ticket(request, rule, ticket, key, body_hash)
+
+    async def _wait(self, request: CallRequest) -> Result[CallAnswer, Failure] | None:
+        """Wait for the end of the running call that has the request's ticket.
+
+        None means that this try has to look again: the running call ended without
+        having run, or the deadline has passed. A try that waits counts for its client
+        account, which bounds the number of them.
+        """
+        signed = decode(request.key or "")
+        running = self._running.get(signed.ticket.nonce) if signed else None
+        if running is None:
+            return None
+        admitted = self._accounts.admit_call(request.account)
+        if admitted.is_error():
+            return Error(_refusal(request.key, admitted.error))
+        self.counters.waited += 1
+        try:
+            async with asyncio.timeout(request.deadline - self._core.now()):
+                end = await asyncio.shield(running)
+        except TimeoutError:
+            return None
+        finally:
+            self._accounts.finished(admitted.ok, 0)
+        if isinstance(end, Outcome):
+            return Ok(_answer(end, repeated=True))
+        return None if end.execution is Execution.NOT_RUN else Error(end)
+
+    def _counted(
+        self, result: Result[CallAnswer, Failure]
+    ) -> Result[CallAnswer, Failure]:
+        if result.is_ok():
+            self.counters.ran += 1
+            self.counters.repeated += result.ok.repeated
+            return result
+        match result.error.execution:
+            case Execution.RAN:
+                self.counters.ran += 1
+            case Execution.NOT_RUN:
+                self.counters.not_run += 1
+            case Execution.MAY_HAVE_RUN:
+                self.counters.may_have_run += 1
+        return result
 
     async def _run_ticket(
-        self,
-        request: CallRequest,
-        rule: Service,
-        ticket: Ticket,
-        key: str | None,
-        body_hash: bytes,
+        self, request: CallRequest, ticket: Ticket, key: str | None
     ) -> Result[CallAnswer, Failure]:
+        rule = self._core.settings.services[request.service]
         admitted = self._accounts.admit_call(request.account)
         if admitted.is_error():
             return Error(admitted.error)
-        begun = self.tickets.begin(ticket, body_hash, self._core.now())
+        now = self._core.now()
+        begun = self.tickets.begin(ticket, _hash(request.body), now)
         if begun.is_error():
             self._accounts.finished(admitted.ok, 0)
             match begun.error:
@@ -155,6 +234,8 @@
                 case Refuse(failure):
                     return Error(failure)
         run = begun.ok
+        running = asyncio.get_running_loop().create_future()
+        self._running[ticket.nonce] = running
         failure = Failure(ErrorKind.INTERNAL, "the call ended without an outcome")
         result: Result[Outcome, Failure] = Error(failure)
         try:
@@ -164,6 +245,8 @@
         finally:
             value = result.ok if result.is_ok() else result.error
             self.tickets.finish(ticket, run, value, self._core.now())
+            del self._running[ticket.nonce]
+            running.set_result(value)
         return result.map(_answer)
 
     async def _forward(
@@ -205,6 +288,8 @@
 
     async def forwarded(self, call: ForwardedCall) -> CallOutcome:
         """Run a call that another node forwarded to this one."""
+        # The deadline counts from the arrival, and the answer needs time as well.
+        deadline = self._core.arrived_at() + call.remaining_s - FORWARD_MARGIN_S
         request = CallRequest(
             call.request_id,
             call.account,
@@ -212,9 +297,16 @@
             call.ticket,
             call.body,
             "application/json",
-            self._core.now() + call.remaining_s,
+            deadline,
         )
-        result = await self._run_forwarded(request)
+        run = self._core.tasks.spawn(self._run_forwarded(request), "forwarded-call")
+        try:
+            # gRPC cancels this handler when the forwarding node goes away or its
+            # deadline passes. A call that has been sent is followed to its end.
+            result = await asyncio.shield(run)
+        except asyncio.CancelledError:
+            self.counters.forwarder_gone += 1
+            raise
         if result.is_ok():
             answer = result.ok
             return CallOutcome(
@@ -235,22 +327,9 @@
         if not self.accepting:
             failure = Failure(ErrorKind.DRAINING, "the issuer is shutting down")
             return Error(while_key_unknown(failure))
-        rule = settings.services.get(request.service)
-        decided = (
-            self.tickets.classify(
-                request.key,
-                request.account,
-                request.service,
-                rule,
-                _hash(request.body),
-                self._core.now(),
-            )
-            if rule is not None
-            else None
-        )
         # A forwarded call is never forwarded again: two nodes that each believe the
         # other one to be the issuer would pass it on for ever.
-        if isinstance(decided, Forward):
+        if isinstance(self._classify(request), Forward):
             message = "the ticket is not from this node"
             return Error(Failure(ErrorKind.ISSUER_UNREACHABLE, message))
         return await self.run(request)
@@ -275,10 +354,11 @@
             request.deadline,
             send_until,
         )
-        run = _CallRun(self._core, self._client, request, call, key)
+        run = CallRun(self._core, self._client, request, call, key)
         try:
             return await run.result()
         finally:
+            self.counters.late_events += call.late_events
             self._accounts.finished(admitted, 0)
 
     def _workers(self, request: CallRequest) -> tuple[str, ...]:
@@ -306,82 +386,11 @@
         self.budgets.configure(settings.requests)
 
 
-class _CallRun:
-    """Drive `Call`: one task for each attempt and a timer."""
-
-    def __init__(
-        self,
-        core: Core,
-        client: ServiceClient,
-        request: CallRequest,
-        call: Call,
-        key: str | None,
-    ) -> None:
-        self._core = core
-        self._client = client
-        self._request = request
-        self._call = call
-        self._key = key
-        self._queue: asyncio.Queue[CallEvent] = asyncio.Queue()
-        self._tasks: dict[int, asyncio.Task[None]] = {}
-
-    async def result(self) -> Result[Outcome, Failure]:
-        """Return the one answer or failure."""
-        event: CallEvent = Started()
-        while True:
-            for action in self._handle(event):
-                match action:
-                    case SendCall():
-                        self._tasks[action.attempt] = self._core.tasks.spawn(
-                            self._send(action), "plain-call"
-                        )
-                    case CancelCall(attempt):
-                        self._tasks[attempt].cancel()
-                    case AnswerCall(outcome):
-                        return Ok(outcome)
-                    case FailCall(failure):
-                        return Error(failure)
-            event = await self._next()
-
-    def _handle(self, event: CallEvent) -> list[CallAction]:
-        rule = self._core.settings.services.get(self._request.service)
-        return self._call.handle(event, rule, self._core.now())
-
-    async def _next(self) -> CallEvent:
-        wait = max(0.001, self._call.next_tick() - self._core.now())
-        try:
-            async with asyncio.timeout(wait):
-                return await self._queue.get()
-        except TimeoutError:
-            return Tick()
-
-    async def _send(self, action: SendCall) -> None:
-        settings, attempt = self._core.settings, action.attempt
-        rule = settings.services.get(self._request.service)
-        upstream = settings.upstreams.get(action.worker)
-        if rule is None or upstream is None:
-            self._queue.put_nowait(ConnectFailed(attempt))
-            return
-
-        def may_send() -> bool:
-            # Compared with the clock and not only by a timer: after a pause of this
-            # process the timers fire late.
-            return self._call.may_send(attempt, self._core.now())
-
-        result = await self._client.call(
-            ServiceRequest(
-                self._core.url_of(action.worker, upstream.url) + rule.path,
-                action.request_id,
-                self._request.body,
-                max(0.001, self._call.next_tick() - self._core.now()),
-                self._request.content_type,
-                self._key,
-                action.new_connection,
-                rule.states_not_run,
-            ),
-            may_send,
-        )
-        self._queue.put_nowait(ended(attempt, action.request_id, result))
+def _is_running(decided: Classification) -> bool:
+    return (
+        isinstance(decided, Refuse)
+        and decided.failure.kind is ErrorKind.CALL_IN_PROGRESS
+    )
 
 
 def _refusal(key: str | None, failure: Failure) -> Failure:
--- a/packages/dandelionpond/src/dandelionpond/runtime/core.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/core.py
@@ -18,6 +18,7 @@
 from dandelionpond.metrics import Metrics
 from dandelionpond.record.recorder import Recorder
 from dandelionpond.record.registry import Decision
+from dandelionpond.requests.pauses import Pauses
 from dandelionpond.runtime.tasks import Tasks
 
 log = logging.getLogger("dandelionpond.settings")
@@ -48,6 +49,7 @@
         self.random = random.Random(secrets.randbits(64) if seed is None else seed)
         self.metrics = Metrics()
         self.tasks = Tasks()
+        self.pauses = Pauses(clock.monotonic())
         self.keeper = SettingsKeeper()
         self.recorder = Recorder(Settings().record, __version__)
         self.keys = KeyIndex(Settings())
@@ -81,6 +83,14 @@
         """Return the monotonic time in seconds."""
         return self.clock.monotonic()
 
+    def arrived_at(self) -> float:
+        """Return when a message that is read now can have arrived at the earliest."""
+        return self.pauses.arrived_at(self.now())
+
+    async def tick_pauses(self) -> None:
+        """Learn that the event loop runs."""
+        self.pauses.tick(self.now())
+
     def url_of(self, upstream: str, published: str) -> str:
         """Return the base URL under which this node reaches an upstream."""
         return self.local.upstream_routes.get(upstream, published).rstrip("/")
--- a/packages/dandelionpond/src/dandelionpond/runtime/state.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/state.py
@@ -187,6 +187,8 @@
         slices.add_counters("vm_list", lambda: node.vms.counters)
         slices.add_counters("dispatch", lambda: dispatcher.counters)
         slices.add_counters("tickets", lambda: struct(node.calls.tickets.counters))
+        slices.add_counters("calls", lambda: struct(node.calls.counters))
+        slices.add_counters("pauses", lambda: struct(core.pauses.counters))
         slices.add_counters("leases", lambda: struct(node.engines.leases.book.counters))
         slices.add_counters(
             "groups", lambda: struct(node.engines.leases.groups.counters)
--- a/packages/standins/src/dandelionpond_standins/scenario.py
+++ b/packages/standins/src/dandelionpond_standins/scenario.py
@@ -31,8 +31,14 @@
 
 
 def caller_urls(stack: Stack) -> list[str]:
-    """Return the callers' URL of each node, in the order of start."""
-    return [f"http://{child.line['caller_address']}" for child in stack.nodes.values()]
+    """Return the callers' URL of each node, in the order of the nodes' names.
+
+    The order of `Stack.nodes` is that of their starts, which differs between runs.
+    """
+    return [
+        f"http://{stack.nodes[name].line['caller_address']}"
+        for name in sorted(stack.nodes)
+    ]
 
 
 def sample_prompt(
