Carry body type and Retry-After between nodes, and test tries of one ticket

Cause: a forwarded call reached the worker as application/json whatever the caller sent (by_type of the worker ['application/json'], wanted ['application/octet-stream']), and a limit of the issuer lost its Retry-After.

--- a/packages/dandelionpond/src/dandelionpond/peer/messages.py
+++ b/packages/dandelionpond/src/dandelionpond/peer/messages.py
@@ -6,6 +6,9 @@
 from dandelionpond.identity import Identity
 from dandelionpond.membership.messages import Exchange
 
+# A node of an earlier version does not say the type of a forwarded body.
+DEFAULT_CONTENT_TYPE = "application/json"
+
 
 class Demand(msgspec.Struct, frozen=True, tag="demand"):
     """Report the demand of a node for one client account, in tokens per second."""
@@ -65,10 +68,14 @@
     body: bytes
     remaining_s: float
     request_id: str
+    content_type: str = DEFAULT_CONTENT_TYPE
 
 
 class CallOutcome(msgspec.Struct, frozen=True, tag="call_outcome"):
-    """Carry the outcome of a forwarded call; `error` is None if it has an answer."""
+    """Carry the outcome of a forwarded call; `error` is None if it has an answer.
+
+    `retry_after_s` is in seconds and None if the error says no time.
+    """
 
     status: int
     content_type: str
@@ -76,3 +83,4 @@
     error: ErrorKind | None = None
     error_message: str = ""
     is_repeated: bool = False
+    retry_after_s: float | None = None
--- a/packages/dandelionpond/src/dandelionpond/peer/tests/test_translate.py
+++ b/packages/dandelionpond/src/dandelionpond/peer/tests/test_translate.py
@@ -3,11 +3,25 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from dandelionpond.errors import ErrorKind
 from dandelionpond.identity import Identity
 from dandelionpond.membership.messages import Exchange, Rumor
 from dandelionpond.peer import peer_pb2 as pb
-from dandelionpond.peer.messages import Demand, Grant, PeerMessage
-from dandelionpond.peer.translate import message_from, message_to, outcome_from
+from dandelionpond.peer.messages import (
+    CallOutcome,
+    Demand,
+    ForwardedCall,
+    Grant,
+    PeerMessage,
+)
+from dandelionpond.peer.translate import (
+    call_from,
+    call_to,
+    message_from,
+    message_to,
+    outcome_from,
+    outcome_to,
+)
 
 NUMBER = st.integers(0, 2**64 - 1)
 
@@ -58,3 +72,15 @@
         """Guard against a truncated reply that is taken for an outcome."""
         with pytest.raises(ValueError):
             outcome_from(pb.CallReply())
+
+    def test_forwarded_call_and_outcome(self):
+        """Guard against a content type or a Retry-After that is lost on the way."""
+        sender = Identity("a", 1, 2)
+        call = ForwardedCall(sender, "t", "acme", "pay", "", b"x", 1.5, "r", "text/csv")
+        assert call_from(call_to(call)) == call
+        kind = ErrorKind.RATE_LIMITED
+        limited = CallOutcome(0, "", b"", kind, "limit", retry_after_s=2.5)
+        for outcome in (limited, CallOutcome(200, "text/csv", b"x", is_repeated=True)):
+            assert outcome_from(outcome_to(outcome)) == outcome
+        # A node of an earlier version sends neither.
+        assert call_from(pb.CallRequest(sender=call_to(call).sender)).content_type
--- a/packages/dandelionpond/src/dandelionpond/peer/translate.py
+++ b/packages/dandelionpond/src/dandelionpond/peer/translate.py
@@ -11,6 +11,7 @@
 from dandelionpond.membership.messages import Exchange, Rumor
 from dandelionpond.peer import peer_pb2 as pb
 from dandelionpond.peer.messages import (
+    DEFAULT_CONTENT_TYPE,
     CallOutcome,
     Demand,
     FetchedFile,
@@ -187,6 +188,7 @@
         body=call.body,
         remaining_s=call.remaining_s,
         request_id=call.request_id,
+        content_type=call.content_type,
     )
 
 
@@ -201,6 +203,7 @@
         message.body,
         _number(message.remaining_s),
         message.request_id,
+        message.content_type or DEFAULT_CONTENT_TYPE,
     )
 
 
@@ -213,6 +216,7 @@
         error_kind=outcome.error.value if outcome.error else "",
         error_message=outcome.error_message,
         repeated_outcome=outcome.is_repeated,
+        retry_after_s=outcome.retry_after_s or 0.0,
     )
 
 
@@ -227,4 +231,5 @@
         ErrorKind(message.error_kind) if message.error_kind else None,
         message.error_message,
         message.repeated_outcome,
+        _number(message.retry_after_s) or None,
     )
--- a/packages/dandelionpond/src/dandelionpond/runtime/call_run.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/call_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 from expression import Error, Ok, Result
 
 from dandelionpond.adapters.service import ServiceClient, ServiceRequest
@@ -23,6 +24,26 @@
 from dandelionpond.runtime.core import Core
 
 
+class CallCounters(msgspec.Struct):
+    """Count what happened to the calls that this node itself decided.
+
+    `waited` tries found their ticket's call running, and `repeated` ones got an outcome
+    of an earlier try. `late_events` came after their call had ended.
+    """
+
+    ran: int = 0
+    not_run: int = 0
+    may_have_run: int = 0
+    repeated: int = 0
+    waited: int = 0
+    forwarded: int = 0
+    issuer_unreachable: int = 0
+    forwarder_gone: int = 0
+    refused_full: int = 0
+    ended_late: int = 0
+    late_events: int = 0
+
+
 class CallRun:
     """Drive `Call`: one task for each attempt and a timer."""
 
--- a/packages/dandelionpond/src/dandelionpond/runtime/calls.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/calls.py
@@ -4,7 +4,6 @@
 import hashlib
 import secrets
 
-import msgspec
 from expression import Error, Ok, Result
 
 from dandelionpond.adapters.service import HttpServiceClient, ServiceClient
@@ -26,51 +25,40 @@
     RunPlain,
     RunTicket,
 )
+from dandelionpond.requests.pauses import PAUSE_S
 from dandelionpond.requests.ticket import Ticket, decode
 from dandelionpond.requests.ticket_book import TicketBook, while_key_unknown
 from dandelionpond.runtime.accounts import Accounts
-from dandelionpond.runtime.call_run import CallRun
+from dandelionpond.runtime.call_run import CallCounters, CallRun
 from dandelionpond.runtime.core import Core
 from dandelionpond.runtime.gossip import Gossip
 
 EXPIRE_INTERVAL_S = 1.0
 # Time that a forwarded call leaves for the way back from the issuer.
 FORWARD_MARGIN_S = 0.05
+# A call that ends later than this after its deadline, in seconds, was late.
+LATE_S = PAUSE_S
 # Time after which a call that met a full node may come again, in seconds.
 FULL_RETRY_S = 1.0
 
 
-class CallCounters(msgspec.Struct):
-    """Count what happened to the calls that this node itself decided.
-
-    `waited` tries found their ticket's call running, and `repeated` ones got an outcome
-    of an earlier try. `late_events` came after their call had ended.
-    """
-
-    ran: int = 0
-    not_run: int = 0
-    may_have_run: int = 0
-    repeated: int = 0
-    waited: int = 0
-    forwarded: int = 0
-    issuer_unreachable: int = 0
-    forwarder_gone: int = 0
-    refused_full: int = 0
-    late_events: int = 0
-
-
 class CallRunner:
     """Serve plain calls and own the ticket book of this incarnation."""
 
     def __init__(
-        self, core: Core, accounts: Accounts, gossip: Gossip, peers: PeerClient
+        self,
+        core: Core,
+        accounts: Accounts,
+        gossip: Gossip,
+        peers: PeerClient,
+        client: ServiceClient | None = None,
     ) -> None:
         settings = core.settings.requests
         self._core = core
         self._accounts = accounts
         self._gossip = gossip
         self._peers = peers
-        self._client: ServiceClient = HttpServiceClient(settings)
+        self._client = client or HttpServiceClient(settings)
         self.budgets = RetryBudgets(settings)
         # The secret never leaves this process, so only this incarnation can verify
         # the tickets that it issued.
@@ -94,8 +82,8 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        assert isinstance(self._client, HttpServiceClient)
-        await self._client.close()
+        if isinstance(self._client, HttpServiceClient):
+            await self._client.close()
 
     def issue(self, account: str, service: str) -> Result[IssuedTicket, Failure]:
         """Issue a ticket for one call."""
@@ -117,6 +105,8 @@
         finally:
             self.in_flight -= 1
             self._core.metrics.in_flight.labels("call").set(self.in_flight)
+            late_s = self._core.now() - request.deadline
+            self.counters.ended_late += late_s > LATE_S
         outcome = "complete"
         if answer.is_error():
             outcome = answer.error.execution.value
@@ -154,8 +144,8 @@
                     return self._counted(Error(_refusal(request.key, admitted.error)))
                 # The service must not take equal keys of two accounts for one.
                 scoped = None if key is None else f"{request.account}|{key}"
-                result = await self._attempt(request, rule, scoped, None, admitted.ok)
-                return self._counted(result.map(_answer))
+                plain = await self._attempt(request, rule, scoped, None, admitted.ok)
+                return self._counted(plain.map(_answer))
             case RunTicket(ticket, key):
                 return self._counted(await self._run_ticket(request, ticket, key))
         raise AssertionError(decided)
@@ -272,6 +262,7 @@
             request.body,
             remaining,
             request.request_id,
+            request.content_type,
         )
         result = await self._peers.forward_call(known, call)
         if result.is_error():
@@ -279,7 +270,9 @@
         outcome = result.ok
         if outcome.error is not None:
             # The issuer knows its tickets, so what it says of the execution stands.
-            return Error(Failure(outcome.error, outcome.error_message))
+            return Error(
+                Failure(outcome.error, outcome.error_message, outcome.retry_after_s)
+            )
         return Ok(
             CallAnswer(
                 outcome.status, outcome.content_type, outcome.body, outcome.is_repeated
@@ -296,7 +289,7 @@
             call.service,
             call.ticket,
             call.body,
-            "application/json",
+            call.content_type,
             deadline,
         )
         run = self._core.tasks.spawn(self._run_forwarded(request), "forwarded-call")
@@ -316,7 +309,14 @@
                 is_repeated=answer.repeated,
             )
         failure = result.error
-        return CallOutcome(0, "", b"", failure.kind, failure.message)
+        return CallOutcome(
+            0,
+            "",
+            b"",
+            failure.kind,
+            failure.message,
+            retry_after_s=failure.retry_after_s,
+        )
 
     async def _run_forwarded(self, request: CallRequest) -> Result[CallAnswer, Failure]:
         settings = self._core.settings
--- a/packages/standins/src/dandelionpond_standins/service.py
+++ b/packages/standins/src/dandelionpond_standins/service.py
@@ -47,6 +47,7 @@
     request_id: str
     key: str | None
     body: str
+    content_type: str = ""
 
 
 class ServiceStandin:
@@ -64,12 +65,14 @@
         self._answers: dict[str, bytes] = {}
         self.executions: list[Execution] = []
 
-    def run(self, request_id: str, key: str | None, body: bytes) -> bytes:
+    def run(
+        self, request_id: str, key: str | None, body: bytes, content_type: str = ""
+    ) -> bytes:
         """Execute a call, or return the kept answer of a key seen before."""
         if self._deduplicate and key is not None and key in self._answers:
             return self._answers[key]
         self.executions.append(
-            Execution(request_id, key, body.decode(errors="replace"))
+            Execution(request_id, key, body.decode(errors="replace"), content_type)
         )
         number = len(self.executions)
         answer = json.dumps(
@@ -80,13 +83,19 @@
         return answer
 
     def count(self) -> dict[str, Any]:
-        """Return the executions by request identifier, by key and by body."""
-        counts: dict[str, dict[str, int]] = {"by_id": {}, "by_key": {}, "by_body": {}}
+        """Return the executions by request identifier, key, body and content type."""
+        counts: dict[str, dict[str, int]] = {
+            "by_id": {},
+            "by_key": {},
+            "by_body": {},
+            "by_type": {},
+        }
         for done in self.executions:
             for table, value in (
                 ("by_id", done.request_id),
                 ("by_key", done.key),
                 ("by_body", done.body),
+                ("by_type", done.content_type),
             ):
                 if value is not None:
                     counts[table][value] = counts[table].get(value, 0) + 1
@@ -109,7 +118,8 @@
         if name in ("not_run", "leaving") or len(self.executions) >= MAX_KEPT:
             headers["X-Execution"] = "not_run"
             return Response(b"not run", 503, headers)
-        answer = self.run(request_id, key, body)
+        content_type = request.headers.get("content-type", "")
+        answer = self.run(request_id, key, body, content_type)
         if fault is not None and name == "delay":
             await asyncio.sleep(fault.seconds)
         elif name == "silence":
--- a/packages/standins/tests/test_proof_calls.py
+++ b/packages/standins/tests/test_proof_calls.py
@@ -132,6 +132,9 @@
             }
             counters = await stack.operate("fd1-node-1", "/v1/dump")
             counts = await executions(stack)
+            url = f"{stack.services['fd1-service-1'].url}/control/executions"
+            async with stack.session.get(url) as response:
+                found["types"] = (await response.json())["by_type"]
             return (
                 found,
                 refused,
@@ -155,6 +158,8 @@
             else:
                 assert [one.repeated for one in tries] == [False, True, True]
                 assert len({one.body for one in tries}) == 1
+        # The node that forwards a call passes the type of its body on.
+        assert list(found["types"]) == ["application/octet-stream"]
         assert [one.execution for one in refused] == ["not_run", "not_run"]
         assert refused_ran == 0
         assert (later.status, later_ran) == (200, 1)
