Let stand-ins hold orders, count refusals and honour reservations

A relay holds chunks that contain a text until its next rule. An engine lists its latest orders, counts refused requests and reports ready models in /v1/load.

Fault fixed: the engine model freed a reservation and then queued the request that named it, so a waiting request could take the memory (TestReservations::test_reserved_memory_goes_to_its_request).

--- a/packages/standins/src/dandelionpond_standins/engine.py
+++ b/packages/standins/src/dandelionpond_standins/engine.py
@@ -60,6 +60,9 @@
     ) -> None:
         self.name = name
         self.faults = Faults()
+        # Requests that started, and refused ones by reason.
+        self.started = 0
+        self.refused: dict[str, int] = {}
         self._model = model
         self._orders = orders
         self._any_model = not orders.report(0.0)["models"]
@@ -105,6 +108,7 @@
         if self._any_model:
             version = body.version or "v1"
         if version is None or (body.version and body.version != version):
+            self._count_refused("unknown_model")
             return answer(404, {"error": "unknown_model", "execution": "not_run"})
         tokens = body.prompt_tokens or count_tokens(body.prompt)
         text = body.prompt or f"#{body.prompt_tokens}"
@@ -130,15 +134,20 @@
             self.now,
         )
         if isinstance(submitted, SubmitRefused):
+            self._count_refused(submitted.reason)
             refusal: dict[str, Any] = {"error": submitted.reason}
             # A failing engine says nothing about execution, as after a crash inside it.
             if submitted.reason != "failing":
                 refusal["execution"] = "not_run"
             return answer(REFUSALS[submitted.reason], refusal)
+        self.started += 1
         stream = self._streams[body.request_id] = Stream(body.from_offset)
         self._wake.set()
         return StreamAnswer(self, body, text_seed(body.model, version, text), stream)
 
+    def _count_refused(self, reason: str) -> None:
+        self.refused[reason] = self.refused.get(reason, 0) + 1
+
     async def cancel(self, request: Request) -> Response:
         """Free a stream or any other holding and confirm that the memory is free."""
         body = decode(await request.body(), Body)
@@ -233,6 +242,7 @@
                 "kv_tokens_used": int(report.kv_tokens_used * factor),
                 "kv_capacity_tokens": self._model.spec.kv_capacity_tokens,
                 "leaving": self.faults.leaving,
+                "models": None if self._any_model else self._orders.ready(self.now),
             },
         )
 
@@ -251,6 +261,19 @@
         """Report models, adapters, role and the greatest token seen."""
         return answer(200, self._orders.report(self.now))
 
+    async def counters(self, request: Request) -> Response:
+        """Report the latest orders, refused requests by reason, and memory in use."""
+        return answer(
+            200,
+            {
+                "orders": list(self._orders.history),
+                "refused": self.refused,
+                "started": self.started,
+                "clock_started_at": self._start,
+                "kv_tokens_used": self._model.kv_tokens_used,
+            },
+        )
+
     async def control(self, request: Request) -> Response:
         """Set faults: `leave`, `clear`, `stream`, or any other field of `Faults`."""
         name = request.path_params["name"]
@@ -307,6 +330,7 @@
                 Route("/v1/load", self.load),
                 Route("/v1/orders", self.order, methods=post),
                 Route("/v1/orders", self.orders),
+                Route("/control/counters", self.counters),
                 Route("/control/{name}", self.control, methods=post),
             ],
             lifespan=lifespan,
@@ -329,6 +353,7 @@
     load_s: float = 5.0,
     seed: int = 1,
     self_expire: bool = False,
+    keep_alive_s: int = 5,
     kv_capacity_tokens: int = 400_000,
     prefill_tokens_per_s: float = 20_000.0,
     step_base_s: float = 0.008,
@@ -349,6 +374,8 @@
         is served until the first order.
     speed
         Seconds of the model's clock for each real second.
+    keep_alive_s
+        Seconds after which an idle connection is closed.
     """
     spec = EngineSpec(
         kv_capacity_tokens=kv_capacity_tokens,
@@ -373,6 +400,7 @@
         ws="none",
         log_level="warning",
         access_log=False,
+        timeout_keep_alive=keep_alive_s,
         timeout_graceful_shutdown=1,
     )
     listener = socket.create_server((host, port), backlog=1024)
--- a/packages/standins/src/dandelionpond_standins/engine_model.py
+++ b/packages/standins/src/dandelionpond_standins/engine_model.py
@@ -105,6 +105,10 @@
         held = self._memory.held.get(holding_id)
         return None if held is None else held.owner
 
+    def cached_tokens(self, prefix_hashes: tuple[int, ...]) -> int:
+        """Return the leading tokens of a prompt that are in the prefix cache."""
+        return self._memory.cache.match(prefix_hashes) * self.spec.block_tokens
+
     def submit(self, request: ModelRequest, now: float) -> Submitted | SubmitRefused:
         """Queue a request or refuse it without side effects."""
         self._run(now)
@@ -117,8 +121,7 @@
             return SubmitRefused(name, "too_large")
         if self._waiting_count >= self.spec.max_waiting:
             return SubmitRefused(name, "queue_full")
-        if request.reservation:
-            self.release(request.reservation, now)
+        takes_over = self.release(request.reservation, now)
         self._count += 1
         run = Run(request, (request.priority, self._count))
         run.held = Held(
@@ -128,11 +131,11 @@
         self._memory.held[name] = run.held
         self._queued += run.left
         self._waiting_count += 1
-        heapq.heappush(self._waiting, run)
+        # The memory of a reservation goes to its request and to none that waits.
+        if not takes_over or not self._has_slot() or not self._start(run):
+            heapq.heappush(self._waiting, run)
         self._admit()
-        cached = (
-            self._memory.cache.match(request.prefix_hashes) * self.spec.block_tokens
-        )
+        cached = self.cached_tokens(request.prefix_hashes)
         return Submitted(name, min(cached, request.prompt_tokens))
 
     def cancel(self, request_id: str, now: float) -> bool:
@@ -245,12 +248,13 @@
             if run.done:
                 heapq.heappop(self._waiting)
                 continue
-            if len(self._prefilling) + len(self._decoding) >= self.spec.max_running:
-                return
-            if not self._start(run):
+            if not self._has_slot() or not self._start(run):
                 return
             heapq.heappop(self._waiting)
 
+    def _has_slot(self) -> bool:
+        return len(self._prefilling) + len(self._decoding) < self.spec.max_running
+
     def _start(self, run: Run) -> bool:
         held, request = run.held, run.request
         assert held is not None
--- a/packages/standins/src/dandelionpond_standins/engine_orders.py
+++ b/packages/standins/src/dandelionpond_standins/engine_orders.py
@@ -1,5 +1,6 @@
 """Model what an engine does with orders, without I/O; times in seconds."""
 
+from collections import deque
 from typing import Literal
 
 import msgspec
@@ -8,6 +9,7 @@
     "load_model", "unload_model", "load_adapter", "unload_adapter", "set_role"
 ]
 MAX_ITEMS = 256
+MAX_HISTORY = 1_024
 
 
 class Order(msgspec.Struct, frozen=True):
@@ -28,7 +30,15 @@
     seen. Equal tokens are accepted, so that an order can be repeated.
     """
 
-    __slots__ = ("_enforced", "_load_s", "_models", "applied", "highest", "role")
+    __slots__ = (
+        "_enforced",
+        "_load_s",
+        "_models",
+        "applied",
+        "highest",
+        "history",
+        "role",
+    )
 
     def __init__(
         self,
@@ -46,9 +56,25 @@
         self.role = role
         self.highest: tuple[int, int, int] = (0, 0, 0)
         self.applied = 0
+        # The latest orders with their results, for tests.
+        self.history: deque[dict[str, object]] = deque(maxlen=MAX_HISTORY)
 
     def apply(self, order: Order, now: float) -> str:
         """Apply an order and return `accepted`, `stale`, `unknown_model` or `full`."""
+        result = self._apply(order, now)
+        told = msgspec.to_builtins(order)
+        self.history.append({**told, "result": result, "at": now})
+        return result
+
+    def ready(self, now: float) -> dict[str, str]:
+        """Return the models that can be used now with their versions."""
+        return {
+            name: version
+            for name, (version, ready, _) in self._models.items()
+            if ready <= now
+        }
+
+    def _apply(self, order: Order, now: float) -> str:
         if self._enforced and order.fencing < self.highest:
             return "stale"
         self.highest = max(self.highest, order.fencing)
--- a/packages/standins/src/dandelionpond_standins/relay.py
+++ b/packages/standins/src/dandelionpond_standins/relay.py
@@ -24,13 +24,15 @@
     With `scope` "open" the rule holds for the connections that are open now, and new
     ones work: a path that has lost track of its connections. With "new" it holds for
     later connections, with "all" for both. `refuse` closes the listening port whatever
-    the scope is. `delay_s` is added to each chunk.
+    the scope is. `delay_s` is added to each chunk. A chunk towards the target that
+    contains `hold` waits until another rule is in force.
     """
 
     drop: Literal["none", "up", "down", "both"] = "none"
     scope: Literal["open", "new", "all"] = "all"
     delay_s: float = 0.0
     refuse: bool = False
+    hold: str = ""
 
 
 class RelayCounters(msgspec.Struct):
@@ -51,6 +53,10 @@
         self.writers = writers
         self.closed = False
 
+    def holds(self, direction: str, data: bytes) -> bool:
+        marker = self.rule.hold.encode()
+        return direction == "up" and bool(marker) and marker in data and not self.closed
+
     def drops(self, direction: str) -> bool:
         return self.rule.drop in (direction, "both")
 
@@ -59,10 +65,11 @@
     """Own the listening port and the open connections of one path.
 
     At `MAX_LINKS` open connections a new one is reset and counted. `dropped` is set at
-    the first byte that the rule in force drops.
+    the first byte that the rule in force drops, `held` at the first chunk it holds.
     """
 
     __slots__ = (
+        "_changed",
         "_host",
         "_links",
         "_port",
@@ -71,6 +78,7 @@
         "_target",
         "counters",
         "dropped",
+        "held",
     )
 
     def __init__(self, target: tuple[str, int], host: str = "127.0.0.1") -> None:
@@ -82,6 +90,9 @@
         self._server: asyncio.Server | None = None
         self.counters = RelayCounters()
         self.dropped = asyncio.Event()
+        self.held = asyncio.Event()
+        # Wakes held chunks when a rule changes or a connection is reset.
+        self._changed = asyncio.Event()
 
     @property
     def address(self) -> tuple[str, int]:
@@ -110,10 +121,12 @@
     async def apply(self, rule: Rule) -> None:
         """Put a rule in force."""
         self.dropped.clear()
+        self.held.clear()
         if rule.scope in ("open", "all"):
             for link in self._links:
                 link.rule = rule
         self._rule = Rule() if rule.scope == "open" else rule
+        self._wake()
         if rule.refuse:
             self._stop_listening()
         else:
@@ -124,8 +137,13 @@
         count = len(self._links)
         for link in list(self._links):
             self._close(link)
+        self._wake()
         return count
 
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _stop_listening(self) -> None:
         if self._server is not None:
             self._server.close()
@@ -180,6 +198,10 @@
         while data := await reader.read(CHUNK_BYTES):
             if link.rule.delay_s:
                 await asyncio.sleep(link.rule.delay_s)
+            if link.holds(direction, data):
+                self.held.set()
+                while link.holds(direction, data):
+                    await self._changed.wait()
             if link.drops(direction):
                 self.counters.dropped_bytes += len(data)
                 self.dropped.set()
--- a/packages/standins/src/dandelionpond_standins/tests/test_relay.py
+++ b/packages/standins/src/dandelionpond_standins/tests/test_relay.py
@@ -100,3 +100,18 @@
             assert asyncio.get_running_loop().time() - before >= 0.1
 
         over_relay(scenario)
+
+    def test_held_bytes_arrive_after_the_next_rule(self):
+        """Guard against a request that is lost when it should only be late."""
+
+        async def scenario(relay):
+            reader, writer = await open_link(relay)
+            await relay.apply(Rule(hold="stay"))
+            assert await ask(reader, writer) == b"ping"
+            writer.write(b"stay")
+            await relay.held.wait()
+            await relay.apply(Rule())
+            assert await reader.read(4) == b"stay"
+            writer.close()
+
+        over_relay(scenario)
--- a/packages/standins/tests/test_engine_model.py
+++ b/packages/standins/tests/test_engine_model.py
@@ -222,3 +222,15 @@
         numbers = [e.seq for e in engine.cache_events(0, 12.0)]
         assert numbers == sorted(numbers)
         assert 20 < len(numbers) < 50
+
+
+class TestReservations:
+    def test_reserved_memory_goes_to_its_request(self):
+        """Guard against a waiting request that takes the memory of a reservation."""
+        engine = EngineModel(EngineSpec(kv_capacity_tokens=10_000), 1)
+        assert engine.reserve("g/e", "node/1", 6_000, 30.0, 0.0)
+        engine.submit(ask("waits", 5_000, max_tokens=10), 0.0)
+        lead = ask("lead", 5_000, max_tokens=10, priority=9, reservation="g/e")
+        engine.submit(lead, 1.0)
+        events = engine.advance(10.0)
+        assert first_token(events, "lead") < first_token(events, "waits")
