Check a send when the connection is open, before the first byte

Cause: the age of an order and the lease of a prompt were checked before the connection was made, and `may_send` of an attempt was ignored. A node that stopped while it connected sent afterwards.

`on_sending` may raise `NotSentError`; the call then is `not_sent` and the execution state `not_run`. aiohttp releases the connection slot when a trace hook raises, both for new and for reused connections (read in its connector). A refusal `unknown_model` has a reason of its own, and the load report carries the ready models.

--- a/packages/dandelionpond/src/dandelionpond/adapters/engine.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/engine.py
@@ -17,6 +17,7 @@
     EngineLoad,
     EngineRequest,
     KvBlock,
+    NotSentError,
     Piece,
     StreamEvent,
 )
@@ -234,7 +235,11 @@
         return await self._call("GET", "/v1/load", None, EngineLoad, timeout_s)
 
     async def order(
-        self, token: Token, change: Change, timeout_s: float
+        self,
+        token: Token,
+        change: Change,
+        timeout_s: float,
+        on_sending: Callable[[], None] | None = None,
     ) -> Result[Token, Failure]:
         """Send an order and return the greatest token that the engine has seen."""
         body = {
@@ -245,7 +250,9 @@
             "adapter": change.adapter,
             "role": change.role,
         }
-        answer = await self._call("POST", "/v1/orders", body, _Ordered, timeout_s)
+        answer = await self._call(
+            "POST", "/v1/orders", body, _Ordered, timeout_s, on_sending
+        )
         return answer.map(lambda ordered: ordered.fencing)
 
     async def report(self, timeout_s: float) -> Result[EngineReport, Failure]:
@@ -273,9 +280,15 @@
         yield [Broken("truncated", failure, True)]
 
     async def _call(
-        self, method: str, path: str, body: object, kind: type[T], timeout_s: float
+        self,
+        method: str,
+        path: str,
+        body: object,
+        kind: type[T],
+        timeout_s: float,
+        on_sending: Callable[[], None] | None = None,
     ) -> Result[T, Failure]:
-        sending = Sending(None)
+        sending = Sending(on_sending)
         try:
             async with self._sessions.pooled.request(
                 method,
@@ -326,6 +339,8 @@
             reason, kind = "refused", ErrorKind.UPSTREAM_REFUSED
     elif refusal.error == "too_large":
         kind = ErrorKind.INSUFFICIENT_MEMORY
+    elif refusal.error == "unknown_model":
+        reason, kind = "unknown_model", ErrorKind.UPSTREAM_REFUSED
     else:
         kind = ErrorKind.UPSTREAM_REFUSED
     return Broken(reason, Failure(kind, f"engine: {text}"), sending.started)
@@ -335,6 +350,9 @@
     """Translate an exception; one that means a fault of this program is raised."""
     reason: BrokenReason
     match error:
+        case NotSentError():
+            failure = Failure(ErrorKind.UPSTREAM_UNREACHABLE, str(error))
+            return Broken("not_sent", failure, False)
         case _TooLarge():
             reason, kind, text = "too_large", ErrorKind.ANSWER_TOO_LARGE, "too large"
         case aiohttp.ConnectionTimeoutError() if not sending.started:
--- a/packages/dandelionpond/src/dandelionpond/adapters/engine_api.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/engine_api.py
@@ -62,7 +62,9 @@
 
 BrokenReason = Literal[
     "connect_failed",
+    "not_sent",
     "refused",
+    "unknown_model",
     "leaving",
     "failed",
     "reset",
@@ -88,8 +90,16 @@
 StreamEvent = Piece | End | Broken
 
 
+class NotSentError(Exception):
+    """Report that a request may not be sent any more; raised by `on_sending`."""
+
+
 class EngineLoad(msgspec.Struct, frozen=True):
-    """Report an engine's load as it was `age_s` seconds before the answer."""
+    """Report an engine's load as it was `age_s` seconds before the answer.
+
+    `models` maps each model that is ready at the time of the answer to its version;
+    None means that the engine does not report it.
+    """
 
     age_s: float
     queued_prefill_tokens: int
@@ -98,6 +108,7 @@
     kv_tokens_used: int
     kv_capacity_tokens: int
     leaving: bool = False
+    models: dict[str, str] | None = None
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
@@ -136,9 +147,10 @@
     ) -> AsyncIterator[list[StreamEvent]]:
         """Yield the events of an answer in batches; the last is an End or Broken.
 
-        `on_sending` is called before the first byte can leave. `silence_s` bounds the
-        time without any byte. Closing the iterator closes the connection; memory stays
-        held until `cancel` is confirmed.
+        `on_sending` is called when a connection is open and before the first byte can
+        leave; with `NotSentError` it ends the attempt as `not_sent`. `silence_s` bounds
+        the time without any byte. Closing the iterator closes the connection; memory
+        stays held until `cancel` is confirmed.
         """
         ...
 
@@ -204,9 +216,16 @@
         ...
 
     async def order(
-        self, token: Token, change: Change, timeout_s: float
+        self,
+        token: Token,
+        change: Change,
+        timeout_s: float,
+        on_sending: Callable[[], None] | None = None,
     ) -> Result[Token, Failure]:
-        """Send an order and return the greatest token that the engine has seen."""
+        """Send an order and return the greatest token that the engine has seen.
+
+        `on_sending` works as in `stream`. Errors: `upstream_refused` for a stale token.
+        """
         ...
 
     async def report(self, timeout_s: float) -> Result[EngineReport, Failure]:
--- a/packages/dandelionpond/src/dandelionpond/adapters/engine_session.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/engine_session.py
@@ -67,11 +67,11 @@
         self.started = False
 
     def mark(self) -> None:
-        """Learn that the next byte may leave."""
+        """Learn that the next byte may leave, unless the callback raises."""
         if not self.started:
-            self.started = True
             if self._callback is not None:
                 self._callback()
+            self.started = True
 
 
 async def _mark(
--- a/packages/dandelionpond/src/dandelionpond/adapters/tests/test_engine.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/tests/test_engine.py
@@ -11,6 +11,7 @@
     End,
     EngineRequest,
     GroupPart,
+    NotSentError,
     Piece,
 )
 from dandelionpond.adapters.engine_session import EngineClientSettings, EngineSessions
@@ -81,6 +82,26 @@
 
         asyncio.run(run())
 
+    def test_nothing_is_sent_when_the_caller_objects(self, harness):
+        """Guard against a request or an order that leaves after a pause."""
+
+        async def run():
+            async with harness() as engine:
+
+                def refuse():
+                    raise NotSentError("too late")
+
+                (only,) = await collect(engine.client, ask(), on_sending=refuse)
+                assert (only.reason, only.sent) == ("not_sent", False)
+                assert only.failure.execution is Execution.NOT_RUN
+                change = Change("load_model", model="m", version="v9")
+                answer = await engine.client.order(Token(9, 9, 9), change, 5.0, refuse)
+                assert answer.error.execution is Execution.NOT_RUN
+                assert (await engine.client.holdings(5.0)).ok == []
+                assert (await engine.client.report(5.0)).ok.fencing == Token()
+
+        asyncio.run(run())
+
     def test_lost_stream_is_held_until_cancelled(self, harness):
         """Guard against an answer to cancel that comes before the memory is free."""
 
