Route to engines that can serve, and size the parts of a group

Cause 1: the node sent the version of the settings to any engine. Now an engine is a candidate if it reports the model as ready in any version; an answer, its replacements and the parts of a group stay with one version. Ruled out: only the new version, which leaves a fleet without capacity at the beginning of a change; asking every engine for its order report, which costs 32 more calls for each node and interval.

Cause 2: a part had room for its share of the answer only, but the lead holds the whole answer, so it could wait for memory while it held the other parts. A prompt that can never fit is refused at once.

--- a/packages/dandelionpond/src/dandelionpond/routing/choice.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/choice.py
@@ -226,7 +226,8 @@
         if candidate.state in ("live", "suspect")
     ]
     for count in range(min_engines, len(usable) + 1):
-        part = request.kv_tokens / count
+        # Any of the engines may lead and then holds the whole answer.
+        part = -(-request.prompt_tokens // count) + request.max_tokens
         fitting = [candidate for candidate in usable if candidate.free_tokens >= part]
         if len(fitting) >= count:
             fitting.sort(
--- a/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
@@ -7,6 +7,7 @@
 from dandelionpond.errors import ErrorKind, Failure
 from dandelionpond.limits.admission import Admission, EngineWindows
 from dandelionpond.limits.queue import FairQueue, Queued
+from dandelionpond.memory.groups import split
 from dandelionpond.routing.choice import (
     MAX_CANDIDATES,
     Candidate,
@@ -21,6 +22,7 @@
 from dandelionpond.routing.outliers import Ejected, Outliers, Returned
 from dandelionpond.routing.prefixes import PrefixMap
 from dandelionpond.routing.reach import engines_in_reach
+from dandelionpond.routing.readiness import Readiness
 from dandelionpond.routing.separation import Separation, priority
 
 # Time between two tokens of a stream in seconds, before any stream was seen.
@@ -49,7 +51,10 @@
 
 
 class Place(msgspec.Struct, frozen=True, tag=True):
-    """Send a prompt to an engine; `others` are its replacements, best first."""
+    """Send a prompt to an engine; `others` are its replacements, best first.
+
+    All of them hold `version` of the model; empty means that they do not report it.
+    """
 
     request_id: str
     engine: str
@@ -60,6 +65,7 @@
     candidates: tuple[Candidate, ...]
     seed: int
     choice: RouteChoice
+    version: str = ""
 
 
 class PlaceGroup(msgspec.Struct, frozen=True, tag=True):
@@ -70,6 +76,7 @@
     part_tokens: int
     priority: int
     ttft_s: float
+    version: str = ""
 
 
 class Refuse(msgspec.Struct, frozen=True, tag=True):
@@ -109,7 +116,15 @@
         self.windows = EngineWindows(settings.limits)
         self.queue = FairQueue(settings.limits, settings.routing)
         self.admission = Admission(settings.limits, 1.0)
-        self.counters = {"placed": 0, "grouped": 0, "refused": 0, "expired": 0}
+        self.readiness = Readiness()
+        self.counters = {
+            "placed": 0,
+            "grouped": 0,
+            "refused": 0,
+            "expired": 0,
+            "placed_on_other_version": 0,
+            "refused_model": 0,
+        }
 
     @property
     def in_flight(self) -> int:
@@ -144,6 +159,7 @@
             }
         )
         self.outliers.set_reach(tuple(self._engines))
+        self.readiness.set_reach(tuple(self._engines))
         self.loads.configure(settings.routing)
         self.outliers.configure(settings.routing)
         self.prefixes.configure(settings.routing)
@@ -157,6 +173,15 @@
         """Record the state that membership gives an engine."""
         self._states[engine] = state
 
+    def set_ready(self, engine: str, models: dict[str, str] | None) -> None:
+        """Record the versions of the models that an engine reports as ready."""
+        self.readiness.reported(engine, models)
+
+    def set_not_ready(self, engine: str, model: str) -> None:
+        """Record that an engine refused a model, until its next report."""
+        self.counters["refused_model"] += 1
+        self.readiness.refused(engine, model)
+
     def arrive(self, work: Work, now: float) -> list[DispatchAction]:
         """Take a prompt and return what to do with it and with others."""
         checked = self._check(work, now)
@@ -257,6 +282,10 @@
                     self.counters["grouped"] += 1
                     self._groups.add(item.request_id)
                     self._note_sent(work, engines[0], level, ttft, now)
+            wanted = self._settings.models.get(work.model)
+            if self._chosen.version and wanted is not None:
+                is_other = self._chosen.version != wanted.version
+                self.counters["placed_on_other_version"] += is_other
             actions.append(self._chosen)
             self._chosen = None
 
@@ -293,9 +322,11 @@
         if not serving:
             message = f"no engine in reach serves model {work.model!r}"
             return Error(Failure(ErrorKind.NO_UPSTREAM, message, _DEFAULT_RETRY_S))
-        largest = max(self._engines[name].kv_capacity_tokens for name in serving)
-        total = sum(self._engines[name].kv_capacity_tokens for name in serving)
-        if work.kv_tokens > largest and work.kv_tokens > total:
+        rooms = {name: self._engines[name].kv_capacity_tokens for name in serving}
+        memory = self._settings.memory
+        if work.kv_tokens > max(rooms.values()) and not split(
+            work.prompt_tokens, work.max_tokens, rooms, memory
+        ):
             message = "the engines in reach have too little memory for this prompt"
             return Error(
                 Failure(ErrorKind.INSUFFICIENT_MEMORY, message, _DEFAULT_RETRY_S)
@@ -331,6 +362,8 @@
         for name, engine in self._engines.items():
             if work.model not in engine.models:
                 continue
+            if not self.readiness.is_ready(name, work.model):
+                continue
             role = roles[name] if engine.role == "general" else engine.role
             queued = self.loads.queue_tokens(name, request.priority, now)
             rate = self.loads.prefill_rate(name)
@@ -369,16 +402,20 @@
             level,
         )
         candidates = self._candidates(work, request, now)
+        if not candidates:
+            return False
         if all(work.kv_tokens > one.capacity_tokens for one in candidates):
             return self._fits_group(work, request, candidates)
         self._seed += 1
         choice = choose(request, candidates, policy, self._seed)
         if choice.engine is None:
             return False
+        version = self.readiness.version(choice.engine, work.model)
         others = sorted(
             (estimate_ttft(request, one), one.engine)
             for one in candidates
             if one.engine != choice.engine
+            and self.readiness.version(one.engine, work.model) == version
             and one.state in ("live", "suspect")
             and one.free_tokens >= work.kv_tokens
         )
@@ -392,6 +429,7 @@
             candidates,
             self._seed,
             choice,
+            version,
         )
         return True
 
@@ -401,13 +439,20 @@
         memory = self._settings.memory
         if len(self._groups) >= memory.max_groups:
             return False
-        engines = choose_group(request, candidates, memory.min_group_engines)
-        if not engines:
-            return False
-        rate = min(one.prefill_tokens_per_s for one in candidates)
-        part = -(-work.kv_tokens // len(engines))
-        ttft = work.prompt_tokens / rate
-        self._chosen = PlaceGroup(
-            work.request_id, engines, part, request.priority, ttft
-        )
-        return True
+        by_version: dict[str, list[Candidate]] = {}
+        for one in candidates:
+            version = self.readiness.version(one.engine, work.model)
+            by_version.setdefault(version, []).append(one)
+        # All parts of a prompt need the same version of the model.
+        for version, same in by_version.items():
+            engines = choose_group(request, tuple(same), memory.min_group_engines)
+            if not engines:
+                continue
+            rate = min(one.prefill_tokens_per_s for one in same)
+            part = -(-work.prompt_tokens // len(engines)) + work.max_tokens
+            ttft = work.prompt_tokens / rate
+            self._chosen = PlaceGroup(
+                work.request_id, engines, part, request.priority, ttft, version
+            )
+            return True
+        return False
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/routing/tests/test_readiness.py
@@ -0,0 +1,106 @@
+"""Test which engines can serve a model while its version changes."""
+
+from dandelionpond.config.schema import EngineUpstream, FailureDomain, Model, Settings
+from dandelionpond.routing.dispatcher import Dispatcher, Place, PlaceGroup, Refuse, Work
+from dandelionpond.routing.readiness import Readiness
+
+
+def dispatcher_of(capacity=10_000, engines=4):
+    """Return a dispatcher whose engines all hold version 1 of the model."""
+    upstreams = {
+        f"e{index}": EngineUpstream(
+            "d", "http://[::1]:1", ("m",), kv_capacity_tokens=capacity
+        )
+        for index in range(engines)
+    }
+    settings = Settings(
+        failure_domains={"d": FailureDomain()},
+        models={"m": Model("2", 1_000_000)},
+        upstreams=upstreams,
+    )
+    found = Dispatcher("n", settings, 1, 0.0)
+    found.configure(settings, upstreams, 0.0)
+    for name in upstreams:
+        found.set_ready(name, {"m": "1"})
+    return found
+
+
+def work(name, prompt=100, output=10):
+    return Work(name, "a", 1.0, "m", prompt, output, 600.0)
+
+
+class TestReadiness:
+    def test_unknown_engines_are_ready_and_loading_ones_are_not(self):
+        """Guard against an engine that is excluded because it reports nothing."""
+        readiness = Readiness()
+        readiness.set_reach(("e",))
+        assert readiness.is_ready("e", "m")
+        readiness.reported("e", {"m": "1"})
+        assert (readiness.is_ready("e", "m"), readiness.version("e", "m")) == (
+            True,
+            "1",
+        )
+        readiness.reported("e", {"k": "1"})
+        assert not readiness.is_ready("e", "m")
+        readiness.reported("e", None)
+        assert readiness.is_ready("e", "m")
+
+    def test_engines_out_of_reach_are_not_kept(self):
+        """Guard against a table that grows with the fleet."""
+        readiness = Readiness()
+        readiness.set_reach(("e",))
+        readiness.reported("x", {})
+        readiness.reported("e", {})
+        readiness.set_reach(("x",))
+        assert readiness.is_ready("x", "m")
+        assert readiness.is_ready("e", "m")
+
+
+class TestVersions:
+    def test_an_answer_stays_with_one_version(self):
+        """Guard against a resume on an engine with another version."""
+        dispatcher = dispatcher_of()
+        dispatcher.set_ready("e0", {"m": "2"})
+        dispatcher.set_ready("e1", {"m": "2"})
+        seen = set()
+        for index in range(20):
+            (place,) = dispatcher.arrive(work(f"r{index}"), 0.0)
+            assert isinstance(place, Place)
+            same = {"e0", "e1"} if place.version == "2" else {"e2", "e3"}
+            assert {place.engine, *place.others} <= same
+            seen.add(place.version)
+            dispatcher.finished(f"r{index}", 10, 0.1, 0.0)
+        assert seen == {"1", "2"}
+        assert 0 < dispatcher.counters["placed_on_other_version"] < 20
+
+    def test_a_prompt_waits_while_every_engine_loads(self):
+        """Guard against refused attempts on engines that load."""
+        dispatcher = dispatcher_of()
+        for name in dispatcher.engines:
+            dispatcher.set_not_ready(name, "m")
+        assert dispatcher.arrive(work("r"), 0.0) == []
+        dispatcher.set_ready("e3", {"m": "2"})
+        (place,) = dispatcher.pump(1.0)
+        assert (place.engine, place.version, place.others) == ("e3", "2", ())
+
+    def test_a_group_has_one_version(self):
+        """Guard against parts of a prompt in two versions of a model."""
+        dispatcher = dispatcher_of()
+        dispatcher.set_ready("e1", {"m": "2"})
+        (place,) = dispatcher.arrive(work("r", 24_000), 0.0)
+        assert isinstance(place, PlaceGroup)
+        assert (place.version, place.engines) == ("1", ("e0", "e2", "e3"))
+
+
+class TestGroupSize:
+    def test_each_part_has_room_for_the_whole_answer(self):
+        """Guard against a lead that waits for memory while it holds other parts."""
+        (place,) = dispatcher_of().arrive(work("r", 21_000, 2_000), 0.0)
+        assert isinstance(place, PlaceGroup)
+        assert (len(place.engines), place.part_tokens) == (3, 9_000)
+
+    def test_a_prompt_that_never_fits_is_refused_at_once(self):
+        """Guard against a prompt that waits for memory that does not exist."""
+        (refusal,) = dispatcher_of(engines=3).arrive(work("r", 21_000, 4_000), 0.0)
+        assert isinstance(refusal, Refuse)
+        assert refusal.failure.kind == "insufficient_memory"
