Keep the parts of a running group and adopt what living owners gave up

Cause 1: an engine does not know a reservation any more once a stream took it over. From the moment before the send the lease of the stream stands for the lead's part.

The adopter now releases a holding of a living owner `lease_ttl_s` after the margin. An owner counts its lease from before the engine does, so it gave the holding up long before; an owner that renews has no expired holding.

Ruled out: lists read by every node for its own holdings, which would multiply the bytes read from engines.

--- a/packages/dandelionpond/src/dandelionpond/memory/adoption.py
+++ b/packages/dandelionpond/src/dandelionpond/memory/adoption.py
@@ -15,7 +15,10 @@
     scans: int = 0
     discarded: int = 0
     adopted: int = 0
+    adopted_from_live: int = 0
     held_by_live: int = 0
+    confirmed: int = 0
+    unconfirmed: int = 0
 
 
 class Adoption:
@@ -105,8 +108,11 @@
         `live_owners` maps each node that membership does not count as gone to its
         owner text. A list that was asked for before the last pause, or that took longer
         than `clock_margin_s`, is discarded: an owner may have renewed since. An expired
-        holding is adopted only if its owner is not among the live ones; a living owner
-        behind a partition keeps what it renews.
+        holding of an owner that is not among the live ones is adopted after
+        `clock_margin_s`. One of a live owner is adopted `lease_ttl_s` later: the owner
+        counts its lease from before the engine does, so it has given the holding up,
+        and its release did not end it, as when the request arrived after the release.
+        A living owner behind a partition keeps what it renews.
         """
         self.counters.scans += 1
         late = now - asked_at > self._settings.clock_margin_s
@@ -119,8 +125,18 @@
             if holding.expires_in_s > -self._settings.clock_margin_s:
                 continue
             if holding.owner in owners:
-                self.counters.held_by_live += 1
-                continue
+                margin_s = self._settings.clock_margin_s + self._settings.lease_ttl_s
+                if holding.expires_in_s > -margin_s:
+                    self.counters.held_by_live += 1
+                    continue
+                self.counters.adopted_from_live += 1
             releases.append(Release(scan.engine, holding.holding_id, holding.owner))
         self.counters.adopted += len(releases)
         return releases
+
+    def released(self, confirmed: bool) -> None:
+        """Count the answer to a release; a later scan finds an unconfirmed one."""
+        if confirmed:
+            self.counters.confirmed += 1
+        else:
+            self.counters.unconfirmed += 1
--- a/packages/dandelionpond/src/dandelionpond/memory/groups.py
+++ b/packages/dandelionpond/src/dandelionpond/memory/groups.py
@@ -28,7 +28,7 @@
 
 
 class _Group:
-    __slots__ = ("asked", "deadline", "parts", "ready")
+    __slots__ = ("asked", "deadline", "lead", "parts", "ready")
 
     def __init__(self, parts: tuple[Part, ...], deadline: float) -> None:
         self.parts = parts
@@ -36,6 +36,8 @@
         # The number of parts that were asked for; the last of them may be unanswered.
         self.asked = 0
         self.ready = False
+        # The engine whose reservation a stream takes over.
+        self.lead = ""
 
 
 def split(
@@ -134,12 +136,29 @@
         return self._end(group, failure, now)
 
     def lost(self, engine: str, holding_id: str, now: float) -> list[GroupAction]:
-        """Learn that a lease was lost; if it was a part, the rest is released."""
-        for group in self._groups:
+        """Learn that a lease was lost; if it was a part, the rest is released.
+
+        A reservation that a stream takes over is unknown to its engine from then on;
+        the lease of the stream itself stands for that part.
+        """
+        for group, state in self._groups.items():
             if self.holding_id(group, engine) == holding_id:
+                if state.lead == engine:
+                    return []
                 return self.part_failed(group, engine, now)
         return []
 
+    def starting(self, group: str, lead: str) -> bool:
+        """Learn that a stream which takes over a reservation is about to be sent.
+
+        False means that a part was lost and that nothing may be sent.
+        """
+        state = self._groups.get(group)
+        if state is None:
+            return False
+        state.lead = lead
+        return True
+
     def started(self, group: str, lead: str) -> None:
         """Learn that a stream on the leading engine took over its reservation."""
         self._leases.freed(lead, self.holding_id(group, lead))
--- a/packages/dandelionpond/src/dandelionpond/memory/tests/test_groups.py
+++ b/packages/dandelionpond/src/dandelionpond/memory/tests/test_groups.py
@@ -173,3 +173,33 @@
         ends, states = outcomes(wanted)
         assert states > 10
         assert all(ends)
+
+
+class TestLead:
+    def reserved(self):
+        groups, leases = plan()
+        groups.start("g", parts("a", "b", "c"), 0.0)
+        for name in ("a", "b", "c"):
+            groups.reserved("g", name, 1.0)
+        return groups, leases
+
+    def test_reservation_that_the_stream_took_over_is_no_loss(self):
+        """Guard against parts given up because the lead's reservation is gone."""
+        groups, leases = self.reserved()
+        assert groups.starting("g", "a")
+        (renew,) = (a for a in leases.tick(10.0) if getattr(a, "engine", "") == "a")
+        for lost in leases.renewed(renew, renew.holding_ids, 10.0, 10.1):
+            assert groups.lost(lost.engine, lost.holding_id, 10.1) == []
+        assert len(groups) == 1
+        assert released(leases, 10.2) == {"a"}
+        groups.finish("g", 11.0)
+        assert {"b", "c"} <= released(leases, 11.0)
+
+    def test_lost_part_ends_the_group_while_its_stream_runs(self):
+        """Guard against a stream that goes on without a part of its prompt."""
+        groups, leases = self.reserved()
+        groups.starting("g", "a")
+        (failed,) = groups.lost("b", "g/b", 10.0)
+        assert failed.failure.kind is ErrorKind.UPSTREAM_FAILED
+        assert "c" in released(leases, 10.0)
+        assert not groups.starting("g", "a")
