End streams whose memory is lost, place groups again, count order outcomes

A group now has one attempt for each placement; after a loss or silence the prompt is placed again as a whole and goes on at its offset. - Answers to orders were ignored; they are counted.

--- a/packages/dandelionpond/src/dandelionpond/requests/assembly.py
+++ b/packages/dandelionpond/src/dandelionpond/requests/assembly.py
@@ -37,9 +37,9 @@
 
     __slots__ = ("_bound", "_next", "_open", "counters")
 
-    def __init__(self, reorder_pieces: int) -> None:
+    def __init__(self, reorder_pieces: int, offset: int = 0) -> None:
         self._bound = reorder_pieces
-        self._next = 0
+        self._next = offset
         # Early pieces of each open attempt by offset.
         self._open: dict[tuple[int, str], dict[int, Piece]] = {}
         self.counters = PieceCounters()
--- a/packages/dandelionpond/src/dandelionpond/requests/attempts.py
+++ b/packages/dandelionpond/src/dandelionpond/requests/attempts.py
@@ -49,7 +49,8 @@
 
     `engines` hold the same model and version, best first. `deadline` is in seconds of
     CLOCK_BOOTTIME; `estimate_s` is the estimated time to first token and
-    `hedge_after_s` the wait before a second attempt, or None for no hedge. At most two
+    `hedge_after_s` the wait before a second attempt, or None for no hedge. `offset` is
+    the number of tokens that the caller already has. At most two
     attempts are open, and each one after the first takes from the retry budget.
     """
 
@@ -84,6 +85,7 @@
         deadline: float,
         estimate_s: float,
         hedge_after_s: float | None = None,
+        offset: int = 0,
     ) -> None:
         self._request_id = request_id
         self._engines = engines
@@ -93,7 +95,7 @@
         self._estimate_s = estimate_s
         self._hedge_after_s = hedge_after_s
         self._hedge_at: float | None = None
-        self._assembly = StreamAssembly(settings.reorder_pieces)
+        self._assembly = StreamAssembly(settings.reorder_pieces, offset)
         self._open: list[_Open] = []
         self._count = 0
         self._tries: dict[str, int] = {}
@@ -111,6 +113,11 @@
         """Return how the prompt ended, or None while it is open."""
         return self._result
 
+    @property
+    def is_in_doubt(self) -> bool:
+        """Return whether every open attempt is silent for longer than its pace."""
+        return bool(self._open) and all(attempt.in_doubt for attempt in self._open)
+
     @property
     def counters(self) -> PieceCounters:
         """Return the counts of pieces that were dropped or held."""
--- a/packages/dandelionpond/src/dandelionpond/requests/tests/test_attempts.py
+++ b/packages/dandelionpond/src/dandelionpond/requests/tests/test_attempts.py
@@ -62,6 +62,18 @@
         assert run.piece(2, 2, "cd") == [] and run.attempts.next_offset == 3
         assert run.handle(msg.Finished(1, "r-1", 3)) == [msg.Complete(3)]
 
+    def test_prompt_that_is_placed_again_goes_on_at_its_offset(self):
+        """Guard against text that a caller gets twice after another placement."""
+        settings = RequestsSettings(max_attempts=1)
+        attempts = Attempts(
+            "r.2", ("e9",), settings, RetryBudget(settings), 1_000.0, 1.0, offset=5
+        )
+        assert attempts.handle(msg.Started(), 0.0) == [msg.Resume(1, "e9", "r.2-1", 5)]
+        attempts.may_send(1, 0.0)
+        piece = msg.Piece(1, "r.2-1", 5, 1, "x")
+        assert attempts.handle(piece, 0.1) == [msg.Deliver(5, "x")]
+        assert attempts.handle(msg.Finished(1, "r.2-1", 6), 0.2) == [msg.Complete(6)]
+
     def test_new_connection_wins(self):
         """Guard against a path that lost the connection and holds up the answer."""
         run = Run()
--- a/packages/dandelionpond/src/dandelionpond/runtime/engines.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/engines.py
@@ -86,25 +86,39 @@
         """Forget a prompt that still waits."""
         self.dispatcher.cancelled(request_id)
 
-    async def reserve_group(self, place: PlaceGroup, deadline: float) -> Failure | None:
+    async def reserve_group(
+        self, group: str, place: PlaceGroup, deadline: float
+    ) -> Failure | None:
         """Reserve all parts of a group before its prompt is sent."""
         remaining = max(0.001, deadline - self._core.now())
         return await self.leases.reserve_group(
-            place.request_id, place.engines, place.part_tokens, remaining
+            group, place.engines, place.part_tokens, remaining
         )
 
-    def reservation(self, place: PlaceGroup, engine: str) -> str:
+    def reservation(self, group: str, engine: str) -> str:
         """Return the identifier of a part's reservation."""
-        return self.leases.groups.holding_id(place.request_id, engine)
+        return self.leases.groups.holding_id(group, engine)
 
-    def group_started(self, place: PlaceGroup, engine: str) -> None:
+    def group_starting(self, group: str, engine: str) -> bool:
+        """Return whether a stream that takes over a part may be sent now."""
+        return self.leases.groups.starting(group, engine)
+
+    def group_started(self, group: str, engine: str) -> None:
         """Learn that the stream on the leading engine took over its part."""
-        self.leases.groups.started(place.request_id, engine)
+        self.leases.groups.started(group, engine)
+
+    def finish_group(self, group: str) -> None:
+        """Release what is left of a group."""
+        self.leases.finish_group(group)
 
     def hold(self, engine: str, holding_id: str) -> bool:
         """Enter a lease before a request is sent; false at the bound."""
         return self.leases.hold(engine, holding_id)
 
+    def owns(self, engine: str, holding_id: str) -> bool:
+        """Return whether the lease of a request certainly still holds."""
+        return self.leases.owns(engine, holding_id)
+
     def release(self, engine: str, holding_id: str) -> None:
         """Cancel a request on an engine until the engine confirms it."""
         self.leases.release(engine, holding_id)
@@ -130,16 +144,23 @@
         """Learn that an attempt failed because of its engine."""
         self.dispatcher.failed(engine)
 
+    def can_serve(self, engine: str, model: str, version: str) -> bool:
+        """Return whether an engine still has a model ready in a version."""
+        readiness = self.dispatcher.readiness
+        known = readiness.version(engine, model)
+        is_same = not version or known in ("", version)
+        return readiness.is_ready(engine, model) and is_same
+
+    def refused_model(self, engine: str, model: str) -> None:
+        """Learn that an engine does not serve a model in the version asked for."""
+        self.dispatcher.set_not_ready(engine, model)
+
     def answered(self, engine: str, is_leaving: bool) -> None:
         """Take in what an engine says of itself."""
         self._gossip.upstream_answered(engine, is_leaving)
 
-    def finished(
-        self, request_id: str, place: Placement, tokens: int, decode_s: float
-    ) -> None:
+    def finished(self, request_id: str, tokens: int, decode_s: float) -> None:
         """Record the end of a placed prompt."""
-        if isinstance(place, PlaceGroup):
-            self.leases.finish_group(request_id)
         now = self._core.now()
         self._perform(self.dispatcher.finished(request_id, tokens, decode_s, now))
 
@@ -214,6 +235,7 @@
             float(load.kv_tokens_used),
             load.running_requests,
         )
+        self.dispatcher.set_ready(engine, load.models)
         self.dispatcher.loads.report(report, now)
         self._perform(self.dispatcher.pump(now))
 
--- a/packages/dandelionpond/src/dandelionpond/runtime/leases.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/leases.py
@@ -49,7 +49,9 @@
         self.book = LeaseBook(core.identity.owner, memory, core.random)
         self.groups = GroupPlan(self.book, memory)
         self.adoption = Adoption(core.local.name, memory)
+        # Hear of a lost lease (engine, holding) and of a lost group that was ready.
         self.on_lost: Callable[[str, str], None] | None = None
+        self.on_group_lost: Callable[[str], None] | None = None
         core.on_settings.append(self._configure)
 
     def start(self) -> None:
@@ -60,6 +62,10 @@
         """Enter a lease before its request is sent; false at the bound."""
         return self.book.acquire(engine, holding_id, self._core.now()).is_ok()
 
+    def owns(self, engine: str, holding_id: str) -> bool:
+        """Return whether a lease certainly still holds, as before a send."""
+        return self.book.owns(engine, holding_id, self._core.now())
+
     def freed(self, engine: str, holding_id: str) -> None:
         """Learn that an engine freed a holding by itself."""
         self.book.freed(engine, holding_id)
@@ -174,7 +180,10 @@
             scan, holdings, self._live_owners(), asked_at, now
         )
         for release in releases:
-            await client.cancel(release.holding_id, release.owner, CALL_TIMEOUT_S)
+            answer = await client.cancel(
+                release.holding_id, release.owner, CALL_TIMEOUT_S
+            )
+            self.adoption.released(answer.is_ok())
 
     def _live_owners(self) -> dict[str, str]:
         owners = {self._core.local.name: self._core.identity.owner}
@@ -195,8 +204,11 @@
 
     def _resolve(self, group: str, failure: Failure | None) -> None:
         waiting = self._waiting.get(group)
-        if waiting is not None and not waiting.done():
-            waiting.set_result(failure)
+        if waiting is not None:
+            if not waiting.done():
+                waiting.set_result(failure)
+        elif failure is not None and self.on_group_lost is not None:
+            self.on_group_lost(group)
 
     async def _reserve(self, action: Reserve) -> None:
         client = self._client_of(action.engine)
--- a/packages/dandelionpond/src/dandelionpond/runtime/orders.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/orders.py
@@ -3,8 +3,11 @@
 import logging
 from collections.abc import Callable
 
-from dandelionpond.adapters.engine_api import EngineClient
+import msgspec
+
+from dandelionpond.adapters.engine_api import EngineClient, NotSentError
 from dandelionpond.config.schema import Settings
+from dandelionpond.errors import ErrorKind
 from dandelionpond.orders.messages import AskReport, SendOrder
 from dandelionpond.orders.plan import OrderPlan
 from dandelionpond.runtime.core import Core
@@ -16,6 +19,15 @@
 CALL_TIMEOUT_S = 2.0
 
 
+class OrderOutcomes(msgspec.Struct):
+    """Count the answers to orders; `dropped` ones were too old to be sent."""
+
+    accepted: int = 0
+    refused: int = 0
+    unanswered: int = 0
+    dropped: int = 0
+
+
 class OrderRunner:
     """Carry out the actions of `OrderPlan`."""
 
@@ -29,6 +41,7 @@
         self._gossip = gossip
         self._client_of = client_of
         self.plan = OrderPlan(core.identity, core.local.failure_domain)
+        self.outcomes = OrderOutcomes()
         core.on_settings.append(self._configure)
 
     def start(self) -> None:
@@ -63,7 +76,7 @@
 
     async def _send(self, order: SendOrder) -> None:
         client = self._client_of(order.engine)
-        if client is None or not self.plan.fencing.may_send(order, self._core.now()):
+        if client is None:
             return
         change = order.change
         log.info(
@@ -76,4 +89,17 @@
                 "role": change.role,
             },
         )
-        await client.order(order.token, change, CALL_TIMEOUT_S)
+
+        def sending() -> None:
+            if not self.plan.fencing.may_send(order, self._core.now()):
+                self.outcomes.dropped += 1
+                raise NotSentError("the order is too old")
+
+        result = await client.order(order.token, change, CALL_TIMEOUT_S, sending)
+        if result.is_ok():
+            self.outcomes.accepted += 1
+        elif result.error.kind is ErrorKind.UPSTREAM_REFUSED:
+            self.outcomes.refused += 1
+            log.warning("order refused", extra={"engine": order.engine})
+        else:
+            self.outcomes.unanswered += 1
--- a/packages/dandelionpond/src/dandelionpond/runtime/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/prompts.py
@@ -1,14 +1,18 @@
 """Run prompts: admit, place, stream, resume and release."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator
 
+import msgspec
+
 from dandelionpond.adapters.engine_api import (
     Broken,
     End as EngineEnd,
     EngineClient,
     EngineRequest,
     GroupPart,
+    NotSentError,
     Piece as EnginePiece,
     StreamEvent as EngineEvent,
 )
@@ -39,18 +43,27 @@
     Taken,
     Tick,
 )
-from dandelionpond.routing.dispatcher import Place, PlaceGroup, Refuse, Work
+from dandelionpond.routing.dispatcher import PlaceGroup, Refuse, Work
 from dandelionpond.runtime.accounts import Accounts
 from dandelionpond.runtime.core import Core
 from dandelionpond.runtime.engines import Engines
-
-# Wait before a prompt asks for the memory of several engines again; load reports lag by
-# about as much.
-GROUP_RETRY_S = 0.5
+from dandelionpond.runtime.placement import Placement
 
 Answer = Delta | End | Failure
 
 
+class PromptMemoryCounters(msgspec.Struct):
+    """Count what lost engine memory did to prompts.
+
+    `not_sent` attempts had lost their lease before the first byte could leave.
+    """
+
+    stream_lost: int = 0
+    group_lost: int = 0
+    placed_again: int = 0
+    not_sent: int = 0
+
+
 class PromptRunner:
     """Serve prompts with the engines in reach."""
 
@@ -60,7 +73,13 @@
         self.engines = engines
         self.budgets = RetryBudgets(core.settings.requests)
         self.in_flight = 0
+        self.counters = PromptMemoryCounters()
         self._runs: set[_PromptRun] = set()
+        # Runs by the identifier of a stream with its attempt, and by their group.
+        self.streams: dict[str, tuple[_PromptRun, int]] = {}
+        self.groups: dict[str, _PromptRun] = {}
+        engines.leases.on_lost = self._stream_lost
+        engines.leases.on_group_lost = self._group_lost
         core.on_settings.append(
             lambda settings: self.budgets.configure(settings.requests)
         )
@@ -110,6 +129,19 @@
         for run in list(self._runs):
             run.interrupt()
 
+    def _stream_lost(self, engine: str, holding_id: str) -> None:
+        found = self.streams.get(holding_id)
+        if found is not None:
+            self.counters.stream_lost += 1
+            run, attempt = found
+            run.lost(attempt)
+
+    def _group_lost(self, group: str) -> None:
+        run = self.groups.get(group)
+        if run is not None:
+            self.counters.group_lost += 1
+            run.group_lost()
+
     def _count(self, outcome: str) -> None:
         self.core.metrics.requests.labels("prompt", outcome).inc()
 
@@ -127,8 +159,11 @@
         self._reading.set()
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._attempts: Attempts | None = None
-        self._place: Place | PlaceGroup | None = None
+        self._placement = Placement(runner.core, runner.engines)
         self._engine_of: dict[int, str] = {}
+        self._holdings: set[str] = set()
+        self._is_model_refused = False
+        self._may_have_run = False
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = float("inf")
         self._started_at = self._core.now()
@@ -150,56 +185,93 @@
             request.deadline,
             request.prefix_hashes,
         )
-        placed = await self._place_with_memory(work)
-        if isinstance(placed, Refuse):
-            yield placed.failure
-            return
-        self._place = placed
-        if isinstance(placed, PlaceGroup):
-            names: tuple[str, ...] = placed.engines[:1]
-        else:
-            names = (placed.engine, *placed.others)
-        model = self._core.settings.models.get(request.model)
-        if model is None:
-            message = f"model {request.model!r} was removed"
-            yield Failure(ErrorKind.UNKNOWN_MODEL, message)
-            return
-        self._attempts = Attempts(
-            request.request_id,
-            names,
-            self._core.settings.requests,
-            self._runner.budgets.get(f"model:{request.model}"),
-            request.deadline,
-            max(placed.ttft_s, 0.05),
-        )
-        async for event in self._drive(self._attempts, now):
-            yield event
+        budget = self._runner.budgets.get(f"model:{request.model}")
+        limits = self._core.settings.requests
+        name = request.request_id
+        while True:
+            placed = await self._placement.take(work)
+            if isinstance(placed, Refuse):
+                yield self._as_failure(placed.failure)
+                return
+            settings = limits
+            if isinstance(placed, PlaceGroup):
+                self._runner.groups[self._placement.group] = self
+                names: tuple[str, ...] = placed.engines[:1]
+                # A second attempt needs the memory of all parts again.
+                settings = msgspec.structs.replace(limits, max_attempts=1)
+            else:
+                names = (placed.engine, *placed.others)
+            if request.model not in self._core.settings.models:
+                message = f"model {request.model!r} was removed"
+                yield self._as_failure(Failure(ErrorKind.UNKNOWN_MODEL, message))
+                return
+            self._attempts = Attempts(
+                name,
+                names,
+                settings,
+                budget,
+                request.deadline,
+                max(placed.ttft_s, 0.05),
+                offset=self.generated,
+            )
+            async with contextlib.aclosing(self._drive(self._attempts, now)) as events:
+                async for event in events:
+                    if isinstance(event, Failure) and self._may_place_again(event):
+                        break
+                    yield event
+                else:
+                    return
+            if self._placement.count >= limits.max_attempts or not (
+                self._is_model_refused or budget.take()
+            ):
+                yield event
+                return
+            self._may_have_run |= event.execution is not Execution.NOT_RUN
+            self._is_model_refused = False
+            self._runner.counters.placed_again += 1
+            name = f"{request.request_id}.{self._placement.count + 1}"
+            self._leave_placement()
 
-    async def _place_with_memory(self, work: Work) -> Place | PlaceGroup | Refuse:
-        """Place a prompt; one for a group also gets the memory of all its engines.
+    def _may_place_again(self, failure: Failure) -> bool:
+        """Return whether a prompt can be placed again.
 
-        Load reports lag, so an engine may have less memory than it seemed. The prompt
-        then waits again, until its deadline.
+        So can one on a group of engines, and one that no engine took because the
+        version of its model was changing; that one waits for a ready engine.
         """
-        while True:
-            placed = await self._engines.place(work)
-            if not isinstance(placed, PlaceGroup):
-                return placed
-            failure: Failure | None = None
-            try:
-                failure = await self._engines.reserve_group(placed, work.deadline)
-            except TimeoutError:
-                message = "no engines had the memory in time"
-                failure = Failure(ErrorKind.DEADLINE_BEFORE_SEND, message)
-            except BaseException:
-                self._engines.finished(work.request_id, placed, 0, 0.0)
-                raise
-            if failure is None:
-                return placed
-            self._engines.finished(work.request_id, placed, 0, 0.0)
-            if failure.kind is not ErrorKind.INSUFFICIENT_MEMORY:
-                return Refuse(work.request_id, failure)
-            await asyncio.sleep(GROUP_RETRY_S * (0.5 + self._core.random.random()))
+        if self._is_model_refused and failure.kind is ErrorKind.UPSTREAM_REFUSED:
+            return True
+        lost = (
+            ErrorKind.ANSWER_INCOMPLETE,
+            ErrorKind.UPSTREAM_UNREACHABLE,
+            ErrorKind.UPSTREAM_REFUSED,
+        )
+        return bool(self._placement.group) and failure.kind in lost
+
+    def _as_failure(self, failure: Failure) -> Failure:
+        """Return a failure to find a place, which may follow attempts that ran."""
+        if self._may_have_run and failure.execution is Execution.NOT_RUN:
+            return Failure(ErrorKind.ANSWER_INCOMPLETE, failure.message)
+        return failure
+
+    def _leave_placement(self) -> None:
+        """Give a group up and forget its attempts, before another one is placed."""
+        self._finish(0.0)
+        self._engine_of.clear()
+        self._tasks.clear()
+        # Events of the earlier attempts would be taken for those of the next ones.
+        waiting = [self._queue.get_nowait() for _ in range(self._queue.qsize())]
+        for event in waiting:
+            if isinstance(event, CallerGone):
+                self._queue.put_nowait(event)
+        self._reading.set()
+
+    def _finish(self, decode_s: float) -> None:
+        """Give back what the placement holds."""
+        for holding_id in self._holdings:
+            self._runner.streams.pop(holding_id, None)
+        self._holdings.clear()
+        self._runner.groups.pop(self._placement.group, None)
+        self._placement.leave(self.generated, decode_s)
 
     async def _drive(self, attempts: Attempts, now: float) -> AsyncIterator[Answer]:
         event: StreamEvent = Started()
@@ -223,6 +295,14 @@
             if pieces:
                 event = Taken(pieces)
                 continue
+            if (
+                self._placement.group
+                and attempts.is_in_doubt
+                and self._placement.count < self._core.settings.requests.max_attempts
+            ):
+                # Only another group can test the path, because each needs all parts.
+                event = Reset(max(self._engine_of))
+                continue
             self._set_timer(attempts.next_tick())
             event = await self._queue.get()
 
@@ -233,8 +313,7 @@
             self._core.metrics.ttft.labels(label).observe(now - self._started_at)
             engine = self._engine_of[max(self._engine_of)]
             self._engines.first_token(self._request.request_id, engine)
-            if isinstance(self._place, PlaceGroup):
-                self._engines.group_started(self._place, engine)
+        self._placement.started()
         tokens = attempts.next_offset - self.generated
         self.generated = attempts.next_offset
         return Delta(text, tokens)
@@ -267,7 +346,7 @@
         new_connection: bool,
         now: float,
     ) -> None:
-        request, place = self._request, self._place
+        request, place = self._request, self._placement.place
         assert place is not None
         settings = self._core.settings
         model = settings.models.get(request.model)
@@ -275,22 +354,29 @@
         if model is None or client is None:
             self._queue.put_nowait(ConnectFailed(attempt))
             return
+        if not self._engines.can_serve(engine, request.model, place.version):
+            # The model's version changed after the prompt was placed.
+            self._is_model_refused = True
+            self._queue.put_nowait(Refused(attempt))
+            return
         if attempt > 1:
             self._engines.moved(request.request_id, engine)
         self._engine_of[attempt] = engine
         group = None
         if isinstance(place, PlaceGroup):
-            reservation = self._engines.reservation(place, engine)
+            reservation = self._engines.reservation(self._placement.group, engine)
             group = GroupPart(len(place.engines), reservation)
         if not self._engines.hold(engine, request_id):
             self._queue.put_nowait(ConnectFailed(attempt))
             return
+        self._holdings.add(request_id)
+        self._runner.streams[request_id] = self, attempt
         wanted = EngineRequest(
             request_id,
             self._core.identity.owner,
             request.model,
             request.max_tokens,
-            version=model.version,
+            version=place.version or model.version,
             priority=place.priority,
             prompt=request.prompt,
             prefix_hashes=request.prefix_hashes,
@@ -315,8 +401,13 @@
     ) -> None:
         def sending() -> None:
             assert self._attempts is not None
+            if not (
+                self._engines.owns(engine, request.request_id)
+                and self._placement.starting(engine)
+                and self._attempts.may_send(attempt, self._core.now())
+            ):
+                raise NotSentError("the engine's memory was lost before sending")
             self.was_sent = True
-            self._attempts.may_send(attempt, self._core.now())
 
         # Silence is judged by the attempts, which know the pace of the stream; the
         # connection stays open until they give it up.
@@ -346,6 +437,13 @@
 
     def _broken(self, attempt: int, engine: str, event: Broken) -> StreamEvent:
         match event.reason:
+            case "not_sent":
+                self._runner.counters.not_sent += 1
+                return ConnectFailed(attempt)
+            case "unknown_model":
+                self._is_model_refused = True
+                self._engines.refused_model(engine, self._request.model)
+                return Refused(attempt)
             case "leaving":
                 self._engines.answered(engine, is_leaving=True)
                 return Refused(attempt)
@@ -384,6 +482,15 @@
         else:
             self._set_timer(due)
 
+    def lost(self, attempt: int) -> None:
+        """Learn that the lease of an attempt's stream was lost."""
+        self._queue.put_nowait(Reset(attempt))
+
+    def group_lost(self) -> None:
+        """Learn that a part of the prompt was lost, so that no stream can go on."""
+        for attempt in list(self._tasks):
+            self._queue.put_nowait(Reset(attempt))
+
     def interrupt(self) -> None:
         """End the prompt as if its caller had left."""
         self._queue.put_nowait(CallerGone())
@@ -392,7 +499,7 @@
         """Stop all attempts and give the engines' memory back."""
         if self._timer is not None:
             self._timer.cancel()
-        if self._place is None:
+        if self._placement.place is None:
             self._engines.cancelled(self._request.request_id)
             return
         attempts = self._attempts
@@ -404,6 +511,4 @@
             if attempts is None or not isinstance(attempts.result, Complete):
                 task.cancel()
         decode_s = self._core.now() - self._first_at if self._first_at else 0.0
-        self._engines.finished(
-            self._request.request_id, self._place, self.generated, decode_s
-        )
+        self._finish(decode_s)
--- a/packages/dandelionpond/src/dandelionpond/runtime/state.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/state.py
@@ -195,11 +195,20 @@
             "adoption", lambda: struct(node.engines.leases.adoption.counters)
         )
         slices.add_counters("orders", lambda: struct(node.orders.plan.counters))
+        slices.add_counters(
+            "fencing", lambda: struct(node.orders.plan.fencing.counters)
+        )
+        slices.add_counters("order_outcomes", lambda: struct(node.orders.outcomes))
+        slices.add_counters("prompt_memory", lambda: struct(node.prompts.counters))
         slices.add_counters("tasks", lambda: core.tasks.counters)
         slices.add_counters("record", lambda: {"dropped": core.recorder.dropped})
         slices.add_size("peers", lambda: sum(1 for _ in node.gossip.membership.peers))
         slices.add_size("queue", lambda: len(dispatcher.queue))
         slices.add_size("tickets", lambda: node.calls.tickets.size)
+        slices.add_size(
+            "pending_releases", lambda: node.engines.leases.book.pending_releases
+        )
+        slices.add_size("groups", lambda: len(node.engines.leases.groups))
         slices.add_size("leases", lambda: len(node.engines.leases.book))
         slices.add_size("records", lambda: len(core.recorder))
         slices.add_size("settings_bytes", lambda: core.keeper.total_bytes)
