--- a/packages/dandelionpond/src/dandelionpond/adapters/engine_api.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/engine_api.py
@@ -62,7 +62,9 @@
 
 BrokenReason = Literal[
     "connect_failed",
+    "not_sent",
     "refused",
+    "unknown_model",
     "leaving",
     "failed",
     "reset",
@@ -92,7 +94,8 @@
     """Report an engine's load as it was `age_s` seconds before the answer.
 
     `queued_by_priority` splits the queued prefill, in tokens; an engine that does not
-    report it leaves it empty.
+    report it leaves it empty. `models` maps each model that is ready at the time of the
+    answer to its version; None means that the engine does not report it.
     """
 
     age_s: float
@@ -103,6 +106,7 @@
     kv_capacity_tokens: int
     leaving: bool = False
     queued_by_priority: dict[int, int] = {}
+    models: dict[str, str] | None = None
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
@@ -142,7 +146,7 @@
         """Yield the events of an answer in batches; the last is an End or Broken.
 
         `on_sending` is called in the loop step before the first byte can leave; if it
-        returns False, nothing is sent and the reason is `deadline`. `silence_s` bounds
+        returns False, nothing is sent and the reason is `not_sent`. `silence_s` bounds
         the time without any byte. Closing the iterator closes the connection; memory
         stays held until `cancel` is confirmed.
         """
@@ -210,9 +214,16 @@
         ...
 
     async def order(
-        self, token: Token, change: Change, timeout_s: float
+        self,
+        token: Token,
+        change: Change,
+        timeout_s: float,
+        on_sending: Callable[[], bool | None] | None = None,
     ) -> Result[Token, Failure]:
-        """Send an order and return the greatest token that the engine has seen."""
+        """Send an order and return the greatest token that the engine has seen.
+
+        `on_sending` works as in `stream`. Errors: `upstream_refused` for a stale token.
+        """
         ...
 
     async def report(self, timeout_s: float) -> Result[EngineReport, Failure]:
--- a/packages/dandelionpond/src/dandelionpond/adapters/tests/test_engine.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/tests/test_engine.py
@@ -94,12 +94,32 @@
                     )
                     events = [event async for batch in stream for event in batch]
                     (broken,) = events
-                    assert (broken.reason, broken.sent) == ("deadline", False)
+                    assert (broken.reason, broken.sent) == ("not_sent", False)
                     assert broken.failure.kind is ErrorKind.DEADLINE_BEFORE_SEND
                 return sent[-1], engine.server.received
 
         assert asyncio.run(run()) == (End("r1", 8), 1)
 
+    def test_nothing_is_sent_when_the_caller_objects(self, harness):
+        """Guard against a request or an order that leaves after a pause."""
+
+        async def run():
+            async with harness() as engine:
+
+                def refuse():
+                    return False
+
+                (only,) = await collect(engine.client, ask(), on_sending=refuse)
+                assert (only.reason, only.sent) == ("not_sent", False)
+                assert only.failure.execution is Execution.NOT_RUN
+                change = Change("load_model", model="m", version="v9")
+                answer = await engine.client.order(Token(9, 9, 9), change, 5.0, refuse)
+                assert answer.error.execution is Execution.NOT_RUN
+                assert (await engine.client.holdings(5.0)).ok == []
+                assert (await engine.client.report(5.0)).ok.fencing == Token()
+
+        asyncio.run(run())
+
     def test_lost_stream_is_held_until_cancelled(self, harness):
         """Guard against an answer to cancel that comes before the memory is free."""
 
--- a/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
@@ -15,6 +15,7 @@
     admission_failure,
 )
 from dandelionpond.limits.queue import FairQueue, Queued
+from dandelionpond.memory.groups import split
 from dandelionpond.routing.choice import (
     MAX_CANDIDATES,
     Candidate,
@@ -27,6 +28,7 @@
 from dandelionpond.routing.load import EngineTraits
 from dandelionpond.routing.outliers import Ejected, Returned
 from dandelionpond.routing.reach import engines_in_reach
+from dandelionpond.routing.readiness import Readiness
 from dandelionpond.routing.router import RouteInput, Router
 
 # Time between two tokens of a stream in seconds, before any stream was seen.
@@ -57,7 +59,8 @@
 class Place(msgspec.Struct, frozen=True, tag=True):
     """Send a prompt to an engine; `others` are its replacements, best first.
 
-    `made` and `choice` are the recorded input and outcome of the decision.
+    `made` and `choice` are the recorded input and outcome of the decision. All engines
+    hold `version` of the model; empty means that they do not report it.
     """
 
     request_id: str
@@ -67,6 +70,7 @@
     ttft_s: float
     made: RouteInput
     choice: RouteChoice
+    version: str = ""
 
 
 class PlaceGroup(msgspec.Struct, frozen=True, tag=True):
@@ -77,6 +81,7 @@
     part_tokens: int
     priority: int
     ttft_s: float
+    version: str = ""
 
 
 class Refuse(msgspec.Struct, frozen=True, tag=True):
@@ -117,7 +122,15 @@
         self.router = Router(settings.routing, random, self.windows.is_open)
         self.queue = FairQueue(settings.limits, settings.routing)
         self.admission = Admission(settings.limits, 1.0)
-        self.counters = {"placed": 0, "grouped": 0, "refused": 0, "expired": 0}
+        self.readiness = Readiness()
+        self.counters = {
+            "placed": 0,
+            "grouped": 0,
+            "refused": 0,
+            "expired": 0,
+            "placed_on_other_version": 0,
+            "refused_model": 0,
+        }
 
     @property
     def in_flight(self) -> int:
@@ -152,6 +165,7 @@
                 for name, engine in self._engines.items()
             }
         )
+        self.readiness.set_reach(tuple(self._engines))
         self.windows.configure(settings.limits)
         self.queue.configure(settings.limits, settings.routing)
         rate = sum(engine.prefill_tokens_per_s for engine in self._engines.values())
@@ -161,6 +175,15 @@
         """Take the live nodes that share the engines, this one included."""
         self.router.set_nodes(self._node, nodes)
 
+    def set_ready(self, engine: str, models: dict[str, str] | None) -> None:
+        """Record the versions of the models that an engine reports as ready."""
+        self.readiness.reported(engine, models)
+
+    def set_not_ready(self, engine: str, model: str) -> None:
+        """Record that an engine refused a model, until its next report."""
+        self.counters["refused_model"] += 1
+        self.readiness.refused(engine, model)
+
     def arrive(self, work: Work, now: float) -> list[DispatchAction]:
         """Take a prompt and return what to do with it and with others."""
         needed_s = self._check(work, now)
@@ -267,6 +290,10 @@
                     self.counters["grouped"] += 1
                     self._groups[item.request_id] = self._chosen
                     self._note_group(self._chosen, work, now)
+            wanted = self._settings.models.get(work.model)
+            version = self._chosen.version
+            if version and wanted is not None:
+                self.counters["placed_on_other_version"] += version != wanted.version
             actions.append(self._chosen)
             self._chosen = None
 
@@ -304,9 +331,11 @@
         request = self.router.request(
             work.request_id, work.prompt_tokens, work.max_tokens, work.deadline - now
         )
-        total = sum(self._engines[name].kv_capacity_tokens for name in serving)
-        is_few = len(serving) < self._settings.memory.min_group_engines
-        if self.router.needs_group(request) and (is_few or work.kv_tokens > total):
+        rooms = {name: self._engines[name].kv_capacity_tokens for name in serving}
+        memory = self._settings.memory
+        if self.router.needs_group(request) and not split(
+            work.prompt_tokens, work.max_tokens, rooms, memory
+        ):
             message = "the engines in reach have too little memory for this prompt"
             return Refuse(
                 work.request_id,
@@ -343,6 +372,8 @@
             engine = self._engines[one.engine]
             if work.model not in engine.models:
                 continue
+            if not self.readiness.is_ready(one.engine, work.model):
+                continue
             if engine.role != "general":
                 one = msgspec.structs.replace(one, role=engine.role)
             found.append(one)
@@ -356,6 +387,8 @@
         )
         waited = now - item.enqueued_at
         candidates = self._candidates(work, request, waited, now)
+        if not candidates:
+            return False
         if self.router.needs_group(request):
             return self._fits_group(work, request, candidates)
         policy = self._settings.routing
@@ -370,10 +403,12 @@
             for one in choice.refused
             if one.reason in ("suspect", "stale_report")
         }
+        version = self.readiness.version(choice.engine, work.model)
         others = sorted(
             (one.engine in doubtful, estimate_ttft(request, one), one.engine)
             for one in candidates
             if one.engine != choice.engine
+            and self.readiness.version(one.engine, work.model) == version
             and one.state in ("live", "suspect")
             and one.free_tokens >= work.kv_tokens
         )
@@ -385,6 +420,7 @@
             choice.ttft_s,
             made,
             choice,
+            version,
         )
         return True
 
@@ -394,13 +430,20 @@
         memory = self._settings.memory
         if len(self._groups) >= memory.max_groups:
             return False
-        engines = choose_group(request, candidates, memory.min_group_engines)
-        if not engines:
-            return False
-        rate = min(one.prefill_tokens_per_s for one in candidates)
-        part = -(-work.kv_tokens // len(engines))
-        ttft = work.prompt_tokens / rate
-        self._chosen = PlaceGroup(
-            work.request_id, engines, part, request.priority, ttft
-        )
-        return True
+        by_version: dict[str, list[Candidate]] = {}
+        for one in candidates:
+            version = self.readiness.version(one.engine, work.model)
+            by_version.setdefault(version, []).append(one)
+        # All parts of a prompt need the same version of the model.
+        for version, same in by_version.items():
+            engines = choose_group(request, tuple(same), memory.min_group_engines)
+            if not engines:
+                continue
+            rate = min(one.prefill_tokens_per_s for one in same)
+            part = -(-work.prompt_tokens // len(engines)) + work.max_tokens
+            ttft = work.prompt_tokens / rate
+            self._chosen = PlaceGroup(
+                work.request_id, engines, part, request.priority, ttft, version
+            )
+            return True
+        return False
--- a/packages/dandelionpond/src/dandelionpond/runtime/prompt_run.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/prompt_run.py
@@ -18,7 +18,7 @@
 from dandelionpond.http.gateway import Delta, End, PromptRequest
 from dandelionpond.metrics import length_class
 from dandelionpond.requests.attempts import Attempts
-from dandelionpond.requests.budget import RetryBudgets
+from dandelionpond.requests.budget import RetryBudget, RetryBudgets
 from dandelionpond.requests.messages import (
     CallerGone,
     Cancel,
@@ -41,13 +41,12 @@
     Taken,
     Tick,
 )
-from dandelionpond.routing.dispatcher import Place, PlaceGroup, Refuse, Work
+from dandelionpond.routing.dispatcher import PlaceGroup, Refuse, Work
 from dandelionpond.runtime.core import Core
 from dandelionpond.runtime.engines import Engines
+from dandelionpond.runtime.lost_memory import LostMemory
+from dandelionpond.runtime.placement import Placement
 
-# Wait before a prompt asks for the memory of several engines again; load reports lag by
-# about as much.
-GROUP_RETRY_S = 0.5
 # An estimate for an idle engine can be near zero; silence is judged by it.
 MIN_ESTIMATE_S = 0.05
 
@@ -84,12 +83,14 @@
         engines: Engines,
         budgets: RetryBudgets,
         counters: PromptCounters,
+        memory: LostMemory,
         request: PromptRequest,
     ) -> None:
         self._core = core
         self._engines = engines
         self._budgets = budgets
         self._counters = counters
+        self._memory = memory
         self._request = request
         self._queue: asyncio.Queue[StreamEvent] = asyncio.Queue()
         self._bound = self._core.settings.requests.undelivered_pieces
@@ -100,8 +101,11 @@
         self._room.set()
         self._tasks: dict[int, asyncio.Task[None]] = {}
         self._attempts: Attempts | None = None
-        self._place: Place | PlaceGroup | None = None
+        self._placement = Placement(core, engines)
         self._engine_of: dict[int, str] = {}
+        self._holdings: set[str] = set()
+        self._is_model_refused = False
+        self._may_have_run = False
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = float("inf")
         self._started_at = self._core.now()
@@ -128,61 +132,41 @@
             request.deadline,
             request.prefix_hashes,
         )
-        placed = await self._place_with_memory(work)
+        placed = await self._placement.take(work)
         if isinstance(placed, Refuse):
-            return placed.failure
-        self._place = placed
+            return self._as_failure(placed.failure)
+        limits = self._core.settings.requests
         if isinstance(placed, PlaceGroup):
+            self._memory.add_group(self._placement.group, self)
             names: tuple[str, ...] = placed.engines[:1]
+            # A second attempt needs the memory of all parts again.
+            limits = msgspec.structs.replace(limits, max_attempts=1)
         else:
             names = (placed.engine, *placed.others)
         if request.model not in self._core.settings.models:
             message = f"model {request.model!r} was removed"
-            return Failure(ErrorKind.UNKNOWN_MODEL, message)
+            return self._as_failure(Failure(ErrorKind.UNKNOWN_MODEL, message))
+        count = self._placement.count
         self._attempts = Attempts(
-            request.request_id,
+            request.request_id if count == 1 else f"{request.request_id}.{count}",
             names,
-            self._core.settings.requests,
-            self._budgets.get(f"model:{request.model}"),
+            limits,
+            self._budget(),
             request.deadline,
             max(placed.ttft_s, MIN_ESTIMATE_S),
+            offset=self.generated,
         )
         return None
 
-    async def _place_with_memory(self, work: Work) -> Place | PlaceGroup | Refuse:
-        """Place a prompt; one for a group also gets the memory of all its engines.
-
-        Load reports lag, so an engine may have less memory than it seemed. The prompt
-        then waits again, until its deadline.
-        """
-        while True:
-            placed = await self._engines.place(work)
-            if not isinstance(placed, PlaceGroup):
-                return placed
-            failure: Failure | None = None
-            try:
-                failure = await self._engines.reserve_group(placed, work.deadline)
-            except TimeoutError:
-                message = "no engines had the memory in time"
-                failure = Failure(ErrorKind.DEADLINE_BEFORE_SEND, message)
-            except BaseException:
-                self._engines.finished(work.request_id, placed, 0, 0.0)
-                raise
-            if failure is None:
-                return placed
-            self._engines.finished(work.request_id, placed, 0, 0.0)
-            if failure.kind is not ErrorKind.INSUFFICIENT_MEMORY:
-                return Refuse(work.request_id, failure)
-            await asyncio.sleep(GROUP_RETRY_S * (0.5 + self._core.random.random()))
-
     async def answer(self) -> AsyncIterator[Answer]:
         """Yield the answer of a prompt that `start` has placed."""
-        attempts = self._attempts
-        assert attempts is not None
         event: StreamEvent = Started()
         while True:
+            attempts = self._attempts
+            assert attempts is not None
             now = self._core.now()
             pieces = 0
+            failure: Failure | None = None
             for action in attempts.handle(event, now):
                 match action:
                     case Deliver(_, text):
@@ -192,19 +176,95 @@
                         self.generated = tokens
                         yield End(tokens)
                         return
-                    case Fail(failure):
-                        yield failure
-                        return
+                    case Fail(failed):
+                        failure = failed
                     case _:
                         self._perform(action, now)
+            if failure is not None:
+                failure = await self._place_again(failure)
+                if failure is not None:
+                    yield failure
+                    return
+                event = Started()
+                continue
             if pieces:
                 event = Taken(pieces)
                 continue
+            if self._needs_another_group(attempts):
+                event = Reset(max(self._engine_of))
+                continue
             self._set_timer(attempts.next_tick())
             event = await self._queue.get()
             if 2 * self._queue.qsize() <= self._bound:
                 self._room.set()
 
+    def _budget(self) -> RetryBudget:
+        return self._budgets.get(f"model:{self._request.model}")
+
+    def _needs_another_group(self, attempts: Attempts) -> bool:
+        """Return whether the stream of a group is in doubt and may be placed again.
+
+        Only another group can test the path, because each needs all parts.
+        """
+        limit = self._core.settings.requests.max_attempts
+        is_group = bool(self._placement.group)
+        return is_group and attempts.is_in_doubt and self._placement.count < limit
+
+    async def _place_again(self, failure: Failure) -> Failure | None:
+        """Place a failed prompt once more, or return the failure that ends it."""
+        limit = self._core.settings.requests.max_attempts
+        if not self._may_place_again(failure) or self._placement.count >= limit:
+            return failure
+        if not self._is_model_refused and not self._budget().take():
+            return failure
+        self._may_have_run |= failure.execution is not Execution.NOT_RUN
+        self._is_model_refused = False
+        self._memory.counters.placed_again += 1
+        self._leave_placement()
+        return await self.start()
+
+    def _may_place_again(self, failure: Failure) -> bool:
+        """Return whether a prompt can be placed again.
+
+        So can one on a group of engines, and one that no engine took because the
+        version of its model was changing; that one waits for a ready engine.
+        """
+        if self._is_model_refused and failure.kind is ErrorKind.UPSTREAM_REFUSED:
+            return True
+        lost = (
+            ErrorKind.ANSWER_INCOMPLETE,
+            ErrorKind.UPSTREAM_UNREACHABLE,
+            ErrorKind.UPSTREAM_REFUSED,
+        )
+        return bool(self._placement.group) and failure.kind in lost
+
+    def _as_failure(self, failure: Failure) -> Failure:
+        """Return a failure to find a place, which may follow attempts that ran."""
+        if self._may_have_run and failure.execution is Execution.NOT_RUN:
+            return Failure(ErrorKind.ANSWER_INCOMPLETE, failure.message)
+        return failure
+
+    def _leave_placement(self) -> None:
+        """Give a placement up and forget its attempts, before another one is made."""
+        self._finish(0.0)
+        self._engine_of.clear()
+        self._tasks.clear()
+        # Events of the earlier attempts would be taken for those of the next ones.
+        waiting = [self._queue.get_nowait() for _ in range(self._queue.qsize())]
+        for event in waiting:
+            if isinstance(event, CallerGone):
+                self._queue.put_nowait(event)
+        self._reading.set()
+        self._room.set()
+
+    def _finish(self, decode_s: float) -> None:
+        """Give back what the placement holds."""
+        for holding_id in self._holdings:
+            self._memory.remove_stream(holding_id)
+        self._holdings.clear()
+        self._memory.remove_group(self._placement.group)
+        self._placement.leave(self.generated, decode_s)
+
     def _deliver(self, attempts: Attempts, text: str, now: float) -> Delta:
         if self._first_at is None:
             self._first_at = now
@@ -212,8 +272,7 @@
             self._core.metrics.ttft.labels(label).observe(now - self._started_at)
             engine = self._engine_of[max(self._engine_of)]
             self._engines.first_token(self._request.request_id, engine)
-            if isinstance(self._place, PlaceGroup):
-                self._engines.group_started(self._place, engine)
+        self._placement.started()
         tokens = attempts.next_offset - self.generated
         self.generated = attempts.next_offset
         return Delta(text, tokens)
@@ -249,7 +308,7 @@
         new_connection: bool,
         now: float,
     ) -> None:
-        request, place = self._request, self._place
+        request, place = self._request, self._placement.place
         assert place is not None
         settings = self._core.settings
         model = settings.models.get(request.model)
@@ -257,22 +316,29 @@
         if model is None or client is None:
             self._queue.put_nowait(ConnectFailed(attempt))
             return
+        if not self._engines.can_serve(engine, request.model, place.version):
+            # The model's version changed after the prompt was placed.
+            self._is_model_refused = True
+            self._queue.put_nowait(Refused(attempt))
+            return
         if attempt > 1:
             self._engines.moved(request.request_id, engine)
         self._engine_of[attempt] = engine
         group = None
         if isinstance(place, PlaceGroup):
-            reservation = self._engines.reservation(place, engine)
+            reservation = self._engines.reservation(self._placement.group, engine)
             group = GroupPart(len(place.engines), reservation)
         if not self._engines.hold(engine, request_id):
             self._queue.put_nowait(ConnectFailed(attempt))
             return
+        self._holdings.add(request_id)
+        self._memory.add_stream(request_id, self, attempt)
         wanted = EngineRequest(
             request_id,
             self._core.identity.owner,
             request.model,
             request.max_tokens,
-            version=model.version,
+            version=place.version or model.version,
             priority=place.priority,
             prompt=request.prompt,
             prefix_hashes=request.prefix_hashes,
@@ -299,6 +365,12 @@
             # Compared with the clock and not only by a timer: after a pause of this
             # process the timers fire late.
             assert self._attempts is not None
+            if not (
+                self._engines.owns(engine, request.request_id)
+                and self._placement.starting(engine)
+            ):
+                self._memory.counters.not_sent += 1
+                return False
             permitted = self._attempts.may_send(attempt, self._core.now())
             self.was_sent |= permitted
             self._counters.too_late_to_send += not permitted
@@ -343,9 +415,13 @@
                 return Refused(attempt)
             case "refused" if event.failure.execution is Execution.NOT_RUN:
                 return Refused(attempt)
-            case "deadline" if not event.sent:
+            case "not_sent":
                 # The attempt was given up; this says nothing about the engine.
                 return ConnectFailed(attempt)
+            case "unknown_model":
+                self._is_model_refused = True
+                self._engines.refused_model(engine, self._request.model)
+                return Refused(attempt)
             case "connect_failed":
                 self._engines.failed(engine)
                 return ConnectFailed(attempt)
@@ -379,6 +455,15 @@
         else:
             self._set_timer(due)
 
+    def lost(self, attempt: int) -> None:
+        """Learn that the lease of an attempt's stream was lost."""
+        self._queue.put_nowait(Reset(attempt))
+
+    def group_lost(self) -> None:
+        """Learn that a part of the prompt was lost, so that no stream can go on."""
+        for attempt in list(self._tasks):
+            self._queue.put_nowait(Reset(attempt))
+
     def interrupt(self) -> None:
         """End the prompt as if its caller had left."""
         self._queue.put_nowait(CallerGone())
@@ -390,7 +475,7 @@
         # A stream that still reads its end must not wait for a caller that is served.
         self._reading.set()
         self._room.set()
-        if self._place is None:
+        if self._placement.place is None:
             self._engines.cancelled(self._request.request_id)
             return
         attempts = self._attempts
@@ -402,6 +487,4 @@
             if attempts is None or not isinstance(attempts.result, Complete):
                 task.cancel()
         decode_s = self._core.now() - self._first_at if self._first_at else 0.0
-        self._engines.finished(
-            self._request.request_id, self._place, self.generated, decode_s
-        )
+        self._finish(decode_s)
--- a/packages/dandelionpond/src/dandelionpond/runtime/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/prompts.py
@@ -11,6 +11,7 @@
 from dandelionpond.runtime.accounts import Accounts
 from dandelionpond.runtime.core import Core
 from dandelionpond.runtime.engines import Engines
+from dandelionpond.runtime.lost_memory import LostMemory
 from dandelionpond.runtime.prompt_run import Answer, PromptCounters, PromptRun
 
 # A request that ends later than this after its deadline, in seconds, was late. A loop
@@ -29,6 +30,7 @@
         self.in_flight = 0
         self.counters = PromptCounters()
         self.pieces = PieceCounters()
+        self.memory = LostMemory(engines.leases)
         self._runs: set[PromptRun] = set()
         core.on_settings.append(
             lambda settings: self.budgets.configure(settings.requests)
@@ -48,7 +50,9 @@
             self._count("refused")
             yield admitted.error
             return
-        run = PromptRun(core, self.engines, self.budgets, self.counters, request)
+        run = PromptRun(
+            core, self.engines, self.budgets, self.counters, self.memory, request
+        )
         self._runs.add(run)
         self.in_flight += 1
         core.metrics.in_flight.labels("prompt").set(self.in_flight)
