Send nothing to an engine after the deadline, and bound what waits for a caller

Cause, each red before the change or with it removed in a private copy: - on_sending could not forbid the send, so a prompt that got its connection after a pause was sent after its deadline. The connector now asks, and a refusal closes the connection.

--- a/packages/dandelionpond/src/dandelionpond/adapters/engine.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/engine.py
@@ -20,7 +20,7 @@
     Piece,
     StreamEvent,
 )
-from dandelionpond.adapters.engine_session import EngineSessions, Sending
+from dandelionpond.adapters.engine_session import EngineSessions, NotSentError, Sending
 from dandelionpond.adapters.sse import EventReader
 from dandelionpond.errors import ErrorKind, Failure
 from dandelionpond.memory.messages import Holding, HoldingKind
@@ -99,7 +99,7 @@
         timeout_s: float,
         silence_s: float,
         new_connection: bool = False,
-        on_sending: Callable[[], None] | None = None,
+        on_sending: Callable[[], bool | None] | None = None,
     ) -> AsyncIterator[list[StreamEvent]]:
         """Yield batches of events; the last event is an End or Broken."""
         sending = Sending(on_sending)
@@ -110,7 +110,6 @@
                 f"{self._url}/v1/generate",
                 data=msgspec.json.encode(request),
                 timeout=self._timeout(timeout_s, silence_s),
-                trace_request_ctx=sending,
             ) as response:
                 if response.status != 200:
                     body = await self._body(response)
@@ -282,7 +281,6 @@
                 self._url + path,
                 data=None if body is None else msgspec.json.encode(body),
                 timeout=self._timeout(timeout_s, timeout_s),
-                trace_request_ctx=sending,
             ) as response:
                 content = await self._body(response)
                 if response.status != 200:
@@ -337,6 +335,9 @@
     match error:
         case _TooLarge():
             reason, kind, text = "too_large", ErrorKind.ANSWER_TOO_LARGE, "too large"
+        case NotSentError():
+            failure = Failure(ErrorKind.DEADLINE_BEFORE_SEND, "too late to send")
+            return Broken("deadline", failure, False)
         case aiohttp.ConnectionTimeoutError() if not sending.started:
             reason, kind, text = "connect_failed", ErrorKind.UPSTREAM_UNREACHABLE, ""
         case aiohttp.SocketTimeoutError():
--- a/packages/dandelionpond/src/dandelionpond/adapters/engine_api.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/engine_api.py
@@ -132,13 +132,14 @@
         timeout_s: float,
         silence_s: float,
         new_connection: bool = False,
-        on_sending: Callable[[], None] | None = None,
+        on_sending: Callable[[], bool | None] | None = None,
     ) -> AsyncIterator[list[StreamEvent]]:
         """Yield the events of an answer in batches; the last is an End or Broken.
 
-        `on_sending` is called before the first byte can leave. `silence_s` bounds the
-        time without any byte. Closing the iterator closes the connection; memory stays
-        held until `cancel` is confirmed.
+        `on_sending` is called in the loop step before the first byte can leave; if it
+        returns False, nothing is sent and the reason is `deadline`. `silence_s` bounds
+        the time without any byte. Closing the iterator closes the connection; memory
+        stays held until `cancel` is confirmed.
         """
         ...
 
--- a/packages/dandelionpond/src/dandelionpond/adapters/engine_session.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/engine_session.py
@@ -1,11 +1,14 @@
 """Hold the HTTP sessions of the engine clients and their bounds."""
 
 from collections.abc import Callable
-from types import SimpleNamespace
-from typing import Any
+from contextvars import ContextVar
 
 import aiohttp
 import msgspec
+from aiohttp.client import ClientTimeout
+from aiohttp.client_reqrep import ClientRequest
+from aiohttp.connector import Connection
+from aiohttp.tracing import Trace
 
 
 class EngineClientSettings(msgspec.Struct, frozen=True):
@@ -42,39 +45,56 @@
         await self.fresh.close()
 
     def _session(self, force_close: bool) -> aiohttp.ClientSession:
-        trace = aiohttp.TraceConfig()
-        # Both signals come when a connection is available and before the first byte of
-        # the request is written to it.
-        trace.on_connection_create_end.append(_mark)
-        trace.on_connection_reuseconn.append(_mark)
         return aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+            connector=_Connector(
                 limit=self.settings.max_connections, force_close=force_close
             ),
-            trace_configs=[trace],
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
 
 
+class NotSentError(Exception):
+    """Report that a request was given up before its first byte could leave."""
+
+
 class Sending:
-    """Remember whether a byte of a request can have left."""
+    """Remember whether a byte of a request can have left.
+
+    It belongs to the next request of the current task.
+    """
 
     __slots__ = ("_callback", "started")
 
-    def __init__(self, callback: Callable[[], None] | None) -> None:
+    def __init__(self, callback: Callable[[], bool | None] | None) -> None:
         self._callback = callback
         self.started = False
+        _sending.set(self)
 
-    def mark(self) -> None:
-        """Learn that the next byte may leave."""
+    def may_start(self) -> bool:
+        """Return whether the next byte may leave, and note it."""
         if not self.started:
+            if self._callback is not None and self._callback() is False:
+                return False
             self.started = True
-            if self._callback is not None:
-                self._callback()
+        return True
+
 
+_sending: ContextVar[Sending] = ContextVar("sending")
+
+
+class _Connector(aiohttp.TCPConnector):
+    """Ask when a request gets a connection, which is when its first byte can leave.
+
+    A trace signal comes at the same time, but a new connection is not closed when the
+    receiver of the signal raises.
+    """
 
-async def _mark(
-    session: aiohttp.ClientSession, context: SimpleNamespace, params: Any
-) -> None:
-    context.trace_request_ctx.mark()
+    async def connect(
+        self, req: ClientRequest, traces: list[Trace], timeout: ClientTimeout
+    ) -> Connection:
+        connection = await super().connect(req, traces, timeout)
+        if not _sending.get().may_start():
+            connection.close()
+            raise NotSentError
+        return connection
--- a/packages/dandelionpond/src/dandelionpond/adapters/tests/test_engine.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/tests/test_engine.py
@@ -81,6 +81,25 @@
 
         asyncio.run(run())
 
+    def test_request_that_is_too_late_is_not_sent(self, harness):
+        """Guard against a prompt that an engine runs after its deadline."""
+
+        async def run():
+            async with harness() as engine:
+                sent = await collect(engine.client, ask("r1"), on_sending=lambda: True)
+                # The first one left a connection behind; both kinds are tried.
+                for number, fresh in enumerate((False, True), 2):
+                    stream = engine.client.stream(
+                        ask(f"r{number}"), 5.0, 5.0, fresh, lambda: False
+                    )
+                    events = [event async for batch in stream for event in batch]
+                    (broken,) = events
+                    assert (broken.reason, broken.sent) == ("deadline", False)
+                    assert broken.failure.kind is ErrorKind.DEADLINE_BEFORE_SEND
+                return sent[-1], engine.server.received
+
+        assert asyncio.run(run()) == (End("r1", 8), 1)
+
     def test_lost_stream_is_held_until_cancelled(self, harness):
         """Guard against an answer to cancel that comes before the memory is free."""
 
--- a/packages/dandelionpond/src/dandelionpond/http/callers.py
+++ b/packages/dandelionpond/src/dandelionpond/http/callers.py
@@ -149,8 +149,12 @@
         deadline = self._gateway.arrived_at() + granted.ok
         return Ok(Caller(request_id, name.ok, account, settings, deadline))
 
+    async def _body(self, request: Request, caller: Caller) -> Result[bytes, Failure]:
+        remaining_s = caller.deadline - self._gateway.now()
+        return await read_body(request, caller.settings.requests, remaining_s)
+
     async def _completion(self, request: Request, caller: Caller) -> Answered:
-        body = await read_body(request, caller.settings.requests)
+        body = await self._body(request, caller)
         form = body.bind(lambda data: parse(data, CompletionForm))
         if form.is_error():
             return Error(form.error)
@@ -166,7 +170,7 @@
         )
 
     async def _chat(self, request: Request, caller: Caller) -> Answered:
-        body = await read_body(request, caller.settings.requests)
+        body = await self._body(request, caller)
         form = body.bind(lambda data: parse(data, ChatForm))
         if form.is_error():
             return Error(form.error)
@@ -253,7 +257,7 @@
         key = idempotency_key(request.headers)
         if key.is_error():
             return Error(key.error)
-        body = await read_body(request, caller.settings.requests)
+        body = await self._body(request, caller)
         if body.is_error():
             return Error(_before_lookup(request, body.error))
         call = CallRequest(
--- a/packages/dandelionpond/src/dandelionpond/http/tests/test_callers.py
+++ b/packages/dandelionpond/src/dandelionpond/http/tests/test_callers.py
@@ -193,17 +193,22 @@
         assert answer.startswith(b"HTTP/1.1 400 ")
         assert b'"code":"invalid_header"' in answer
 
-    def test_body_at_one_byte_at_a_time(self):
+    @pytest.mark.parametrize(
+        "limit_s, header", [(0.2, b""), (600.0, b"X-Request-Timeout-Ms: 200\r\n")]
+    )
+    def test_body_at_one_byte_at_a_time(self, limit_s, header):
         """Guard against a slow body that holds a connection past its time limit."""
 
         async def scenario():
-            gateway = FakeGateway(body_timeout_s=0.2)
+            gateway = FakeGateway(body_timeout_s=limit_s)
             async with serving(gateway) as (_, address):
                 head = (
                     b"POST /v1/completions HTTP/1.1\r\nHost: a\r\n"
                     b"Content-Length: 1000\r\nAuthorization: Bearer "
                     + KEY.encode()
-                    + b"\r\n\r\n"
+                    + b"\r\n"
+                    + header
+                    + b"\r\n"
                 )
                 answer = await send_raw(address, [head] + [b" "] * 1000, delay_s=0.05)
             return gateway, answer
--- a/packages/dandelionpond/src/dandelionpond/requests/budget.py
+++ b/packages/dandelionpond/src/dandelionpond/requests/budget.py
@@ -60,12 +60,23 @@
         self._overflow = RetryBudget(settings)
         while self._overflow.level >= 1.0:
             self._overflow.take()
+        self._overflow.taken = 0
         self.at_bound = 0
 
+    @property
+    def taken(self) -> int:
+        """Return the number of retries that were permitted."""
+        return sum(one.taken for one in self._all())
+
+    @property
+    def refused(self) -> int:
+        """Return the number of retries that were refused."""
+        return sum(one.refused for one in self._all())
+
     def configure(self, settings: RequestsSettings) -> None:
         """Take new settings; budgets in use change from the next request on."""
         self._settings = settings
-        for budget in (self._overflow, *self._budgets.values()):
+        for budget in self._all():
             budget.configure(settings)
 
     def get(self, name: str) -> RetryBudget:
@@ -82,3 +93,6 @@
         """Forget the budgets of names that the settings no longer hold."""
         for name in self._budgets.keys() - set(names):
             del self._budgets[name]
+
+    def _all(self) -> tuple[RetryBudget, ...]:
+        return self._overflow, *self._budgets.values()
--- a/packages/dandelionpond/src/dandelionpond/runtime/engines.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/engines.py
@@ -79,6 +79,11 @@
         self._perform(self.dispatcher.arrive(work, self._core.now()))
         try:
             return await waiting
+        except asyncio.CancelledError:
+            # The caller left between the placement and this task's next step.
+            if waiting.done() and not waiting.cancelled():
+                self.finished(work.request_id, waiting.result(), 0, 0.0)
+            raise
         finally:
             del self._waiting[work.request_id]
 
--- a/packages/dandelionpond/src/dandelionpond/runtime/state.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/state.py
@@ -187,6 +187,18 @@
         slices.add_counters("vm_list", lambda: node.vms.counters)
         slices.add_counters("dispatch", lambda: dispatcher.counters)
         slices.add_counters("tickets", lambda: struct(node.calls.tickets.counters))
+
+        def retries() -> dict[str, int]:
+            kinds = {"prompt": node.prompts.budgets, "call": node.calls.budgets}
+            return {
+                f"{kind}_{event}": getattr(budgets, event)
+                for kind, budgets in kinds.items()
+                for event in ("taken", "refused", "at_bound")
+            }
+
+        slices.add_counters("retries", retries)
+        slices.add_counters("prompts", lambda: struct(node.prompts.counters))
+        slices.add_counters("pieces", lambda: struct(node.prompts.pieces))
         slices.add_counters("calls", lambda: struct(node.calls.counters))
         slices.add_counters("pauses", lambda: struct(core.pauses.counters))
         slices.add_counters("leases", lambda: struct(node.engines.leases.book.counters))
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/runtime/tests/test_engines.py
@@ -0,0 +1,50 @@
+"""Test what the engine runner does with prompts whose callers leave."""
+
+import asyncio
+from types import SimpleNamespace
+
+from dandelionpond.clock import ManualClock
+from dandelionpond.config.local import LocalSettings
+from dandelionpond.errors import ErrorKind, Failure
+from dandelionpond.routing.dispatcher import Refuse, Work
+from dandelionpond.runtime.core import Core, new_identity
+from dandelionpond.runtime.engines import Engines
+from dandelionpond_standins.sample import ACCOUNT, MODEL, Sample
+
+
+class TestEngines:
+    def test_caller_leaves_in_the_step_of_the_placement(self, tmp_path):
+        """Guard against a prompt that nobody runs and that counts as in flight."""
+
+        folder = Sample(failure_domains=1).write(tmp_path / "settings")
+        files = {one.name: one.read_bytes() for one in folder.iterdir()}
+
+        async def run():
+            address = "127.0.0.1:1"
+            local = LocalSettings(
+                "a", "fd1", address, address, address, "http://a", "0" * 64
+            )
+            core = Core(local, new_identity("a"), ManualClock())
+            engines = Engines(core, SimpleNamespace(listeners=[]))
+            core.offer(1, files)
+            names = engines.dispatcher.engines
+            for name in names:
+                engines.dispatcher.set_state(name, "ejected")
+            work = Work("r", ACCOUNT, 1.0, MODEL, 10, 5, core.now() + 60.0)
+            placing = asyncio.create_task(engines.place(work))
+            await asyncio.sleep(0)
+            assert engines.dispatcher.in_flight == 0
+            for name in names:
+                engines.dispatcher.set_state(name, "live")
+            # The end of another prompt places this one, whose task is not woken yet.
+            failure = Failure(ErrorKind.OVERLOADED, "another prompt")
+            engines.finished("other", Refuse("other", failure), 0, 0.0)
+            assert engines.dispatcher.in_flight == 1
+            placing.cancel()
+            await asyncio.gather(placing, return_exceptions=True)
+            in_flight = engines.dispatcher.in_flight
+            await core.tasks.cancel()
+            await engines.close()
+            return placing.cancelled(), in_flight
+
+        assert asyncio.run(run()) == (True, 0)
--- a/packages/standins/src/dandelionpond_standins/engine.py
+++ b/packages/standins/src/dandelionpond_standins/engine.py
@@ -67,6 +67,9 @@
         self._start = time.monotonic()
         self._streams: dict[str, Stream] = {}
         self._wake = asyncio.Event()
+        # Requests to generate, and when the last one arrived on CLOCK_BOOTTIME.
+        self.received = 0
+        self.received_at = 0.0
 
     @property
     def now(self) -> float:
@@ -96,6 +99,8 @@
 
     async def generate(self, request: Request) -> Response:
         """Start a request and stream its answer."""
+        self.received += 1
+        self.received_at = time.clock_gettime(time.CLOCK_BOOTTIME)
         if self.faults.leaving:
             return answer(503, {"leaving": True, "execution": "not_run"})
         body = decode(await request.body(), Generate)
@@ -252,8 +257,13 @@
         return answer(200, self._orders.report(self.now))
 
     async def control(self, request: Request) -> Response:
-        """Set faults: `leave`, `clear`, `stream`, or any other field of `Faults`."""
+        """Set faults: `leave`, `clear`, `stream`, or any other field of `Faults`.
+
+        `counts` sets nothing and answers how many requests to generate arrived.
+        """
         name = request.path_params["name"]
+        if name == "counts":
+            return answer(200, {"received": self.received, "at": self.received_at})
         value = json.loads(await request.body() or b"null")
         match name:
             case "leave":
