Never look again at a running ticket without a wait

A ticket that the book lists as running and that has no run to wait for would make the loop in _run spin until the deadline. No way to reach this state was found; the answer is call_in_progress, as it was before tries waited.

--- a/packages/dandelionpond/src/dandelionpond/runtime/calls.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/calls.py
@@ -175,7 +175,8 @@
         signed = decode(request.key or "")
         running = self._running.get(signed.ticket.nonce) if signed else None
         if running is None:
-            return None
+            # Without this, a fault here would make the loop above spin.
+            return Error(Failure(ErrorKind.CALL_IN_PROGRESS, "the call is running"))
         admitted = self._accounts.admit_call(request.account)
         if admitted.is_error():
             return Error(_refusal(request.key, admitted.error))
