--- a/packages/standins/tests/test_proof_membership.py
+++ b/packages/standins/tests/test_proof_membership.py
@@ -122,7 +122,11 @@
             async with work.steady():
                 await asyncio.sleep(1.0)
                 assert await work.received("fd1-engine-1") > 0
-                # The list knows first: the engine still answers `leaving: false`.
+                # The list knows first: the engine still answers `leaving: false`. Half
+                # of the nodes cannot read the list and learn of it from peers.
+                peers_only = ["fd1-node-2", "fd2-node-1", "fd2-node-2"]
+                for relay in stack.paths(peers_only, ["platform"]):
+                    await relay.apply(CUT)
                 await stack.set_vm("fd1-engine-1", "leaving")
                 await stack.set_vm("fd1-service-1", "leaving")
                 await work.gets_no_work("fd1-engine-1", "fd1-service-1")
@@ -175,6 +179,15 @@
             assert await work.received("fd3-engine-2", "fd3-service-2") > before
             assert set(await work.states("fd1-engine-1")) == {"leaving"}
             assert set(await work.states("fd3-engine-1", outside)) == {"leaving"}
+
+            # A VM that is replaced under its name gets work again.
+            async def seen(state):
+                return set(await work.states("fd1-engine-1")) == {state}
+
+            await stack.set_vm("fd1-engine-1", "gone")
+            await asyncio.sleep(3.0)
+            await stack.set_vm("fd1-engine-1", "live")
+            await wait_until(lambda: seen("live"), 30.0)
             assert work.failures == []
 
         sections = {"client_accounts": limited()}
