Replace a silent engine with one of the own failure domain first

Cause: in the first 5 s after a partition the load reports of the other side still look fresh, so a prompt placed there spent its three attempts on that side. Red without the rule: the new test of TestReplacements fails.

--- a/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
@@ -88,8 +88,16 @@
     `names` in reach are bounded by `engines_in_reach`. Times are monotonic seconds.
     """
 
-    def __init__(self, node: str, settings: Settings, seed: int, now: float) -> None:
+    def __init__(
+        self,
+        node: str,
+        settings: Settings,
+        seed: int,
+        now: float,
+        failure_domain: str = "",
+    ) -> None:
         self._node = node
+        self._failure_domain = failure_domain
         self._settings = settings
         self._seed = seed
         self._states: dict[str, State] = {}
@@ -376,14 +384,20 @@
         if choice.engine is None:
             return False
         # An engine that is out of touch shows an old short queue, so its estimate alone
-        # would put it before engines that answer.
+        # would put it before engines that answer. Before its report is stale, only the
+        # failure domain tells which engines a partition leaves in reach.
         doubtful = {
             one.engine
             for one in choice.refused
             if one.reason in ("suspect", "stale_report")
         }
         others = sorted(
-            (one.engine in doubtful, estimate_ttft(request, one), one.engine)
+            (
+                one.engine in doubtful,
+                self._engines[one.engine].failure_domain != self._failure_domain,
+                estimate_ttft(request, one),
+                one.engine,
+            )
             for one in candidates
             if one.engine != choice.engine
             and one.state in ("live", "suspect")
--- a/packages/dandelionpond/src/dandelionpond/routing/tests/test_replacements.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/tests/test_replacements.py
@@ -27,3 +27,20 @@
         assert isinstance(place, Place)
         assert {place.engine, place.others[0]} == {"a", "b"}
         assert set(place.others[1:]) == {"far-1", "far-2"}
+
+    def test_own_failure_domain_comes_first(self):
+        """Guard against attempts that all go to the other side of a new partition."""
+        engines = {
+            name: EngineUpstream(domain, "http://127.0.0.1:1", ("m",))
+            for name, domain in (("a", "d"), ("b", "d"), ("far-1", "e"), ("far-2", "f"))
+        }
+        dispatcher = Dispatcher("n", Settings(), 1, 0.0, "d")
+        dispatcher.configure(Settings(), engines, 0.0)
+        for name, queued in (("a", 9_000.0), ("b", 9_000.0), ("far-1", 0.0)):
+            report = LoadReport(name, 0.0, {0: queued}, 0.0, 0)
+            dispatcher.loads.report(report, 100.0)
+        dispatcher.loads.report(LoadReport("far-2", 0.0, {0: 0.0}, 0.0, 0), 100.0)
+        found = dispatcher.arrive(Work("r", "acme", 1.0, "m", 200, 8, 160.0), 100.0)
+        [place] = found
+        near = [name for name in ("a", "b") if name != place.engine]
+        assert sorted(place.others[: len(near)]) == near
--- a/packages/dandelionpond/src/dandelionpond/runtime/engines.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/engines.py
@@ -50,7 +50,11 @@
         self._poll_failures: dict[str, int] = {}
         self.leases = LeaseRunner(core, gossip, self.client)
         self.dispatcher = Dispatcher(
-            core.local.name, core.settings, core.random.getrandbits(32), core.now()
+            core.local.name,
+            core.settings,
+            core.random.getrandbits(32),
+            core.now(),
+            core.local.failure_domain,
         )
         gossip.listeners.append(self)
         core.on_settings.append(self._configure)
