Count full requests apart from ten changes in a row

The whole run failed once with 87 == 86 full requests. The check assumed that the folder of a peer is always known; but among ten changes in a row readers read the platform at different moments, skip different revisions, and rightly fall back to hashes. The check is now equality after a single change, and equality over all changes after the ten in a row; with deltas removed it fails at the first of them.

--- a/packages/standins/tests/test_proof_settings.py
+++ b/packages/standins/tests/test_proof_settings.py
@@ -141,9 +141,13 @@
             await fleet.in_force(1, timeout_s=60.0)
             full = await fleet.sum_of("transfer", "full_requests")
             await fleet.in_force(await fleet.publish(change(1)))
+            assert await fleet.sum_of("transfer", "full_requests") == full
             for number in range(2, 12):
                 revision = await fleet.publish(change(number))
             await fleet.in_force(revision)
+            # Among ten changes in a row two readers may skip different revisions, and
+            # then one does not know the folder of the other.
+            full = await fleet.sum_of("transfer", "full_requests")
 
             bad = await fleet.publish('{"models": {"x": {"colour": 1}}}', "60-x.json")
 
@@ -188,7 +192,7 @@
             await fleet.stays(newer, 0.5)
             await fleet.platform(renumber=newer)
             await fleet.in_force(await fleet.publish(change(23)))
-            # Every change after the start came as changes from the folder in force.
+            # Every other change came as changes from the folder in force.
             assert await fleet.sum_of("transfer", "full_requests") == full
             assert await fleet.sum_of("transfer", "delta_requests") > 0
             assert await fleet.sum_of("tasks", "failed") == 0
