--- a/packages/dandelionpond/src/dandelionpond/runtime/engines.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/engines.py
@@ -53,7 +53,9 @@
         self._nodes: tuple[str, ...] = ()
         self._poll_failures: dict[str, int] = {}
         self.leases = LeaseRunner(core, gossip, self.client)
-        self.dispatcher = Dispatcher(core.local.name, core.settings, core.random)
+        self.dispatcher = Dispatcher(
+            core.local.name, core.settings, core.random, core.local.failure_domain
+        )
         gossip.listeners.append(self)
         core.on_settings.append(self._configure)
 
--- a/packages/standins/tests/test_proof_settings.py
+++ b/packages/standins/tests/test_proof_settings.py
@@ -141,9 +141,13 @@
             await fleet.in_force(1, timeout_s=60.0)
             full = await fleet.sum_of("transfer", "full_requests")
             await fleet.in_force(await fleet.publish(change(1)))
+            assert await fleet.sum_of("transfer", "full_requests") == full
             for number in range(2, 12):
                 revision = await fleet.publish(change(number))
             await fleet.in_force(revision)
+            # Among ten changes in a row two readers may skip different revisions, and
+            # then one does not know the folder of the other.
+            full = await fleet.sum_of("transfer", "full_requests")
 
             bad = await fleet.publish('{"models": {"x": {"colour": 1}}}', "60-x.json")
 
@@ -188,7 +192,7 @@
             await fleet.stays(newer, 0.5)
             await fleet.platform(renumber=newer)
             await fleet.in_force(await fleet.publish(change(23)))
-            # Every change after the start came as changes from the folder in force.
+            # Every other change came as changes from the folder in force.
             assert await fleet.sum_of("transfer", "full_requests") == full
             assert await fleet.sum_of("transfer", "delta_requests") > 0
             assert await fleet.sum_of("tasks", "failed") == 0
@@ -262,7 +266,8 @@
             await fleet.counters("DELETE")
             await asyncio.sleep(3.0)
             # Three readers, each with a pause of 0.5 s to 2 s after a failure.
-            assert reads_of(await fleet.counters("DELETE")) <= 3 * 8
+            assert 3 <= reads_of(await fleet.counters()) <= 3 * 8
+            await fleet.counters("DELETE")
             await fleet.platform(mode="up")
             revision = await fleet.publish(change(2))
             await fleet.in_force(revision)
@@ -272,7 +277,7 @@
             assert sum(one["reader"] for one in status) == 3
             assert up["watches_waiting"] <= 3
             # A list, a value and a few watches for each of the three readers.
-            assert reads_of(up) <= 3 * 6, up
+            assert 3 <= reads_of(up) <= 3 * 6, up
 
         prove(tmp_path, scenario)
 
