--- a/packages/dandelionpond/src/dandelionpond/routing/settings.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/settings.py
@@ -36,7 +36,7 @@
     long_memory_share: float = 0.8
     max_reserved_share: float = 0.5
     role_hold_s: float = 20.0
-    reserve_short: float = 5.0
+    reserve_short: float = 3.0
     reserve_long: float = 0.0
     max_sends: int = 8_000
     step_tokens: int = 2_048
