--- a/packages/dandelionpond/src/dandelionpond/limits/tests/test_admission.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/tests/test_admission.py
@@ -45,3 +45,9 @@
         assert windows.is_open(5_000.0, 20_000.0)
         assert not windows.is_open(5_001.0, 20_000.0)
         assert windows.held_back == 1
+
+    def test_opens_further_with_waiting_time(self):
+        """Guard against a request for which no engine is ever idle enough."""
+        windows = EngineWindows(LimitsSettings(engine_queue_s=0.25))
+        assert not windows.is_open(20_000.0, 20_000.0, 7.0)
+        assert windows.is_open(20_000.0, 20_000.0, 8.0)
--- a/packages/dandelionpond/src/dandelionpond/routing/tests/test_choice.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/tests/test_choice.py
@@ -92,6 +92,28 @@
         policy = RoutingSettings(near_equal_share=0.0, near_equal_s=0.0)
         assert choose(REQUEST, candidates, policy, 5).engine == chosen
 
+    def test_reservation_holds_while_others_are_only_full(self):
+        """Guard against short prompts that meet longer ones on their own engine."""
+        medium = RouteRequest("m", 20_000, 100, 60.0)
+        candidates = (engine("full", window_open=False), engine("own", role="short"))
+        assert choose(medium, candidates, POLICY, 1).engine is None
+        assert choose(medium, candidates[1:], POLICY, 1).engine == "own"
+
+    def test_delay_of_others_counts(self):
+        """Guard against a prompt that holds up a longer one beside an idle engine."""
+        medium = RouteRequest("m", 20_000, 100, 60.0)
+        candidates = (engine("busy", later_tokens=90_000.0), engine("idle"))
+        chosen = {choose(medium, candidates, POLICY, seed).engine for seed in range(20)}
+        assert chosen == {"idle"}
+
+    def test_home_engine_is_drawn_more_often(self):
+        """Guard against nodes that meet on the one engine that looks idle to all."""
+        candidates = (engine("home", is_home=True), engine("away"))
+        drawn = [
+            choose(REQUEST, candidates, POLICY, seed).engine for seed in range(900)
+        ]
+        assert drawn.count("home") > 6 * drawn.count("away") > 0
+
     def test_outcome_survives_a_recorded_input(self):
         """Guard against a decision that a replay cannot repeat."""
         candidates = tuple(engine(f"e{i}", queue_tokens=i * 50.0) for i in range(32))
@@ -149,3 +171,11 @@
         group = choose_group(RouteRequest("g", prompt, 0, 60.0), candidates, 3)
         assert len(group) == size
         assert list(group) == sorted(group)
+
+    def test_engines_for_short_prompts_take_no_part(self):
+        """Guard against a part of a long prompt in front of short ones."""
+        candidates = tuple(
+            engine(f"e{i}", role="short" if i < 2 else "general") for i in range(5)
+        )
+        group = choose_group(RouteRequest("g", 900_000, 0, 60.0), candidates, 3)
+        assert group == ("e2", "e3", "e4")
