--- a/packages/dandelionpond/src/dandelionpond/routing/separation.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/separation.py
@@ -25,10 +25,10 @@
 ) -> int:
     """Return the engine priority of a request.
 
-    Shorter prompts come first, in steps of a factor of two. The step grows with
-    `short_weight`: at 0 all lengths share a level. When the time left falls below
-    three times the time an idle engine needs, the request gets the most urgent
-    priority whatever its length, so that a stream of short prompts cannot hold it
+    Short prompts come first, then longer ones in steps that grow with `short_weight`:
+    a level for each factor of two from 0.5 on, one level for all at 0. When the time
+    left falls below three times the time an idle engine needs, the request gets the
+    most urgent priority whatever its length, so that short prompts cannot hold it
     back past its deadline.
     """
     if remaining_s < 3.0 * ideal_s:
