--- a/packages/dandelionpond/src/dandelionpond/routing/tests/test_replacements.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/tests/test_replacements.py
@@ -36,7 +36,7 @@
             name: EngineUpstream(domain, "http://127.0.0.1:1", ("m",))
             for name, domain in (("a", "d"), ("b", "d"), ("far-1", "e"), ("far-2", "f"))
         }
-        dispatcher = Dispatcher("n", Settings(), 1, 0.0, "d")
+        dispatcher = Dispatcher("n", Settings(), Random(1), "d")
         dispatcher.configure(Settings(), engines, 0.0)
         for name, queued in (("a", 9_000.0), ("b", 9_000.0), ("far-1", 0.0)):
             report = LoadReport(name, 0.0, {0: queued}, 0.0, 0)
