--- a/packages/dandelionpond/src/dandelionpond/routing/tests/test_replacements.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/tests/test_replacements.py
@@ -40,8 +40,8 @@
         dispatcher.configure(Settings(), engines, 0.0)
         for name, queued in (("a", 9_000.0), ("b", 9_000.0), ("far-1", 0.0)):
             report = LoadReport(name, 0.0, {0: queued}, 0.0, 0)
-            dispatcher.loads.report(report, 100.0)
-        dispatcher.loads.report(LoadReport("far-2", 0.0, {0: 0.0}, 0.0, 0), 100.0)
+            dispatcher.router.report(report, 100.0)
+        dispatcher.router.report(LoadReport("far-2", 0.0, {0: 0.0}, 0.0, 0), 100.0)
         found = dispatcher.arrive(Work("r", "acme", 1.0, "m", 200, 8, 160.0), 100.0)
         [place] = found
         near = [name for name in ("a", "b") if name != place.engine]
--- a/packages/dandelionpond/src/dandelionpond/runtime/tests/test_engines.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/tests/test_engines.py
@@ -5,8 +5,7 @@
 
 from dandelionpond.clock import ManualClock
 from dandelionpond.config.local import LocalSettings
-from dandelionpond.errors import ErrorKind, Failure
-from dandelionpond.routing.dispatcher import Refuse, Work
+from dandelionpond.routing.dispatcher import Work
 from dandelionpond.runtime.core import Core, new_identity
 from dandelionpond.runtime.engines import Engines
 from dandelionpond_standins.sample import ACCOUNT, MODEL, Sample
@@ -37,8 +36,7 @@
             for name in names:
                 engines.dispatcher.router.set_state(name, "live")
             # The end of another prompt places this one, whose task is not woken yet.
-            failure = Failure(ErrorKind.OVERLOADED, "another prompt")
-            engines.finished("other", Refuse("other", failure), 0, 0.0)
+            engines.finished("other", 0, 0.0)
             assert engines.dispatcher.in_flight == 1
             placing.cancel()
             await asyncio.gather(placing, return_exceptions=True)
