End only a blocked send at the deadline, and check types at the edges

The timer of an answer fired at once after the pause, before the attempts could end the prompt with their own failure. A prompt whose caller left in the step of its placement also failed, because a call had kept an old signature that no type check covered.

Ruled out: a longer grace, which only moves the case. The test of worker faults set its faults on one worker; since failing workers are suspected, calls went elsewhere, so it now sets them on all three.

Conclusion: one timer for an answer is enough if it looks whether a send is blocked.

--- a/packages/dandelionpond/src/dandelionpond/http/callers.py
+++ b/packages/dandelionpond/src/dandelionpond/http/callers.py
@@ -93,7 +93,7 @@
             ),
         ]
         handlers = {HTTPException: self._http_error, Exception: internal_error}
-        return Starlette(routes=routes, exception_handlers=handlers)  # type: ignore[arg-type]
+        return Starlette(routes=routes, exception_handlers=handlers)
 
     def _wrap(
         self, handler: Callable[[Request, Caller], Awaitable[Answered]]
--- a/packages/dandelionpond/src/dandelionpond/http/operators.py
+++ b/packages/dandelionpond/src/dandelionpond/http/operators.py
@@ -93,7 +93,7 @@
             self._route("/v1/openapi.json", self._openapi),
         ]
         handlers = {HTTPException: self._http_error, Exception: internal_error}
-        return Starlette(routes=routes, exception_handlers=handlers)  # type: ignore[arg-type]
+        return Starlette(routes=routes, exception_handlers=handlers)
 
     def _route(self, path: str, handler: Handler, method: str = "GET") -> Route:
         @functools.wraps(handler)
--- a/packages/dandelionpond/src/dandelionpond/http/stream.py
+++ b/packages/dandelionpond/src/dandelionpond/http/stream.py
@@ -172,6 +172,9 @@
         self._format = format
         self._streamed = streamed
         self._fail = fail
+        self._timer: asyncio.TimerHandle | None = None
+        self._is_sending = False
+        self._is_unread = False
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Send the answer, or stop the prompt if the caller leaves."""
@@ -246,17 +249,36 @@
         """Send the stream and give up a caller that has stopped reading.
 
         One timer serves the whole answer, because one for each event cost a tenth of
-        the time of a relayed token. The answer itself ends at the deadline, so only a
-        blocked send reaches the limit.
+        the time of a relayed token. It only ends a send that is blocked: after a pause
+        of this process the timer fires before the answer could end by itself.
         """
+        task = asyncio.current_task()
+        assert task is not None
         remaining = self._request.deadline - self._gateway.now() + UNREAD_GRACE_S
+        self._watch(task, max(0.0, remaining))
         try:
-            async with asyncio.timeout(max(0.0, remaining)):
-                await self._send_stream(events, scope, receive, send)
-        except TimeoutError:
+            await self._send_stream(events, scope, receive, send)
+        except asyncio.CancelledError:
+            if not self._is_unread:
+                raise
+            task.uncancel()
             self._gateway.count_error(
                 Failure(ErrorKind.CALLER_GONE, "the caller did not read its answer")
             )
+        finally:
+            if self._timer is not None:
+                self._timer.cancel()
+
+    def _watch(self, task: asyncio.Task[object], delay_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_s, self._end_blocked_send, task)
+
+    def _end_blocked_send(self, task: asyncio.Task[object]) -> None:
+        if self._is_sending:
+            self._is_unread = True
+            task.cancel()
+        else:
+            self._watch(task, UNREAD_GRACE_S)
 
     async def _send_event(self, event: Delta | End | Failure, send: Send) -> bool:
         match event:
@@ -268,7 +290,9 @@
                 self._gateway.count_error(event)
                 body = error_body(event, self._request.request_id)
                 data, last = b"data: " + body + b"\n\n", True
+        self._is_sending = True
         await send({"type": "http.response.body", "body": data, "more_body": not last})
+        self._is_sending = False
         return last
 
     def _cut_short(self) -> Failure:
--- a/packages/dandelionpond/src/dandelionpond/runtime/calls.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/calls.py
@@ -378,7 +378,8 @@
     def _workers(self, request: CallRequest) -> tuple[str, ...]:
         """Return the usable workers, those of this failure domain first."""
         settings, domain = self._core.settings, self._core.local.failure_domain
-        near, far = [], []
+        near: list[str] = []
+        far: list[str] = []
         for name, upstream in settings.upstreams.items():
             if (
                 not isinstance(upstream, ServiceUpstream)
--- a/packages/dandelionpond/src/dandelionpond/runtime/engines.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/engines.py
@@ -3,8 +3,9 @@
 import asyncio
 import logging
 
-from dandelionpond.adapters.engine import EngineSessions, HttpEngineClient
+from dandelionpond.adapters.engine import HttpEngineClient
 from dandelionpond.adapters.engine_api import EngineClient, EngineLoad
+from dandelionpond.adapters.engine_session import EngineSessions
 from dandelionpond.config.schema import EngineUpstream, Settings
 from dandelionpond.decisions import ADMISSION, ROUTE
 from dandelionpond.errors import Failure
@@ -89,7 +90,7 @@
         except asyncio.CancelledError:
             # The caller left between the placement and this task's next step.
             if waiting.done() and not waiting.cancelled():
-                self.finished(work.request_id, waiting.result(), 0, 0.0)
+                self.finished(work.request_id, 0, 0.0)
             raise
         finally:
             del self._waiting[work.request_id]
--- a/packages/standins/tests/test_proof_calls.py
+++ b/packages/standins/tests/test_proof_calls.py
@@ -104,7 +104,7 @@
             for name in FAULTS:
                 body = name.encode()
                 ticket = await get_ticket(stack.session, urls[0], KEY, PAYMENT)
-                await set_fault(stack, name, domains=["fd1"])
+                await set_fault(stack, name)
                 found[name] = [
                     *[await call(index, body, ticket) for index in (1, 2, 0)],
                     await ran(stack, body),
