--- a/packages/dandelionpond/src/dandelionpond/limits/admission.py
+++ b/packages/dandelionpond/src/dandelionpond/limits/admission.py
@@ -40,8 +40,8 @@
 
     def __init__(self, settings: LimitsSettings, rate_tokens_per_s: float) -> None:
         self._settings = settings
-        self._configured_rate = rate_tokens_per_s
-        self._rate = rate_tokens_per_s
+        self._configured_rate = max(1.0, rate_tokens_per_s)
+        self._rate = self._configured_rate
         self._at = -math.inf
         self.refused = 0
 
@@ -51,11 +51,15 @@
         return self._rate
 
     def configure(self, settings: LimitsSettings, rate_tokens_per_s: float) -> None:
-        """Take new settings; the rate is the start of learning if engines change."""
+        """Take new settings; what was learned moves in proportion to the rate.
+
+        The rate changes with each node or engine that comes or goes, so starting anew
+        would forget what was learned several times an hour.
+        """
         self._settings = settings
-        if rate_tokens_per_s != self._configured_rate:
-            self._configured_rate = rate_tokens_per_s
-            self._rate = max(1.0, rate_tokens_per_s)
+        rate = max(1.0, rate_tokens_per_s)
+        self._rate = max(1.0, self._rate * rate / self._configured_rate)
+        self._configured_rate = rate
 
     def served(self, tokens: float, elapsed_s: float, backlogged: bool) -> None:
         """Learn the service rate from a period in which the queue never emptied."""
--- a/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
@@ -163,8 +163,7 @@
         if engines is not self._usable or not has_same_reach:
             self._usable = engines
             self._set_reach()
-        rate = sum(engine.prefill_tokens_per_s for engine in self._engines.values())
-        self.admission.configure(settings.limits, rate)
+        self.admission.configure(settings.limits, self._served_rate())
 
     def _set_reach(self) -> None:
         names = engines_in_reach(self._node, self._usable, self._settings.routing)
@@ -186,6 +185,12 @@
         """Take the live nodes that share the engines, this one included."""
         self._nodes = nodes
         self.router.set_nodes(self._node, nodes)
+        self.admission.configure(self._settings.limits, self._served_rate())
+
+    def _served_rate(self) -> float:
+        """Return this node's part of the engines' prefill rate in tokens per second."""
+        rates = [engine.prefill_tokens_per_s for engine in self._usable.values()]
+        return sum(rates) / max(1, len(self._nodes))
 
     def set_ready(self, engine: str, models: dict[str, str] | None) -> None:
         """Record the versions of the models that an engine reports as ready."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/runtime/engine_events.py
@@ -0,0 +1,74 @@
+"""Turn what an engine sends into events of the attempts of a prompt."""
+
+from dandelionpond.adapters.engine_api import (
+    Broken,
+    End as EngineEnd,
+    EngineRequest,
+    Piece as EnginePiece,
+    StreamEvent as EngineEvent,
+)
+from dandelionpond.errors import Execution
+from dandelionpond.requests.messages import (
+    ConnectFailed,
+    Finished,
+    Piece,
+    Refused,
+    Reset,
+    Silent,
+    StreamEvent,
+)
+from dandelionpond.runtime.engines import Engines
+
+
+class EngineEvents:
+    """Translate the events of one prompt's streams.
+
+    `is_model_refused` is set when an engine did not hold the version of the model.
+    """
+
+    __slots__ = ("_engines", "is_model_refused")
+
+    def __init__(self, engines: Engines) -> None:
+        self._engines = engines
+        self.is_model_refused = False
+
+    def translate(
+        self, attempt: int, engine: str, request: EngineRequest, event: EngineEvent
+    ) -> StreamEvent:
+        """Return the event for the attempts and tell the engines what it shows."""
+        match event:
+            case EnginePiece(request_id, offset, tokens, text):
+                return Piece(attempt, request_id, offset, tokens, text)
+            case EngineEnd(request_id, tokens):
+                if request_id == request.request_id:
+                    self._engines.succeeded(engine)
+                    self._engines.freed(engine, request_id)
+                return Finished(attempt, request_id, tokens)
+            case Broken():
+                return self._broken(attempt, engine, request, event)
+        raise AssertionError(event)
+
+    def _broken(
+        self, attempt: int, engine: str, request: EngineRequest, event: Broken
+    ) -> StreamEvent:
+        match event.reason:
+            case "leaving":
+                self._engines.answered(engine, is_leaving=True)
+                return Refused(attempt)
+            case "refused" if event.failure.execution is Execution.NOT_RUN:
+                return Refused(attempt)
+            case "not_sent":
+                # The attempt was given up; this says nothing about the engine.
+                return ConnectFailed(attempt)
+            case "unknown_model":
+                self.is_model_refused = True
+                self._engines.refused_model(engine, request.model)
+                return Refused(attempt)
+            case "connect_failed":
+                self._engines.failed(engine)
+                return ConnectFailed(attempt)
+            case "silent":
+                self._engines.failed(engine)
+                return Silent(attempt)
+        self._engines.failed(engine)
+        return Reset(attempt)
--- a/packages/dandelionpond/src/dandelionpond/runtime/prompt_run.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/prompt_run.py
@@ -6,13 +6,9 @@
 import msgspec
 
 from dandelionpond.adapters.engine_api import (
-    Broken,
-    End as EngineEnd,
     EngineClient,
     EngineRequest,
     GroupPart,
-    Piece as EnginePiece,
-    StreamEvent as EngineEvent,
 )
 from dandelionpond.errors import ErrorKind, Execution, Failure
 from dandelionpond.http.gateway import Delta, End, PromptRequest
@@ -26,15 +22,12 @@
     ConnectFailed,
     Deliver,
     Fail,
-    Finished,
     PauseReading,
-    Piece,
     Refused,
     Reset,
     Resume,
     ResumeReading,
     Send,
-    Silent,
     Started,
     StreamAction,
     StreamEvent,
@@ -43,9 +36,11 @@
 )
 from dandelionpond.routing.dispatcher import PlaceGroup, Refuse, Work
 from dandelionpond.runtime.core import Core
+from dandelionpond.runtime.engine_events import EngineEvents
 from dandelionpond.runtime.engines import Engines
 from dandelionpond.runtime.lost_memory import LostMemory
 from dandelionpond.runtime.placement import Placement
+from dandelionpond.runtime.timer import LazyTimer
 
 # An estimate for an idle engine can be near zero; silence is judged by it.
 MIN_ESTIMATE_S = 0.05
@@ -104,10 +99,9 @@
         self._placement = Placement(core, engines)
         self._engine_of: dict[int, str] = {}
         self._holdings: set[str] = set()
-        self._is_model_refused = False
+        self._events = EngineEvents(engines)
         self._may_have_run = False
-        self._timer: asyncio.TimerHandle | None = None
-        self._timer_at = float("inf")
+        self._timer = LazyTimer(core.now, self._timer_fired)
         self._started_at = self._core.now()
         self._first_at: float | None = None
         self._last_at = 0.0
@@ -194,7 +188,7 @@
             if self._needs_another_group(attempts):
                 event = Reset(max(self._engine_of))
                 continue
-            self._set_timer(attempts.next_tick())
+            self._timer.set(attempts.next_tick())
             event = await self._queue.get()
             if 2 * self._queue.qsize() <= self._bound:
                 self._room.set()
@@ -216,10 +210,10 @@
         limit = self._core.settings.requests.max_attempts
         if not self._may_place_again(failure) or self._placement.count >= limit:
             return failure
-        if not self._is_model_refused and not self._budget().take():
+        if not self._events.is_model_refused and not self._budget().take():
             return failure
         self._may_have_run |= failure.execution is not Execution.NOT_RUN
-        self._is_model_refused = False
+        self._events.is_model_refused = False
         self._memory.counters.placed_again += 1
         self._leave_placement()
         return await self.start()
@@ -230,7 +224,7 @@
         So can one on a group of engines, and one that no engine took because the
         version of its model was changing; that one waits for a ready engine.
         """
-        if self._is_model_refused and failure.kind is ErrorKind.UPSTREAM_REFUSED:
+        if self._events.is_model_refused and failure.kind is ErrorKind.UPSTREAM_REFUSED:
             return True
         lost = (
             ErrorKind.ANSWER_INCOMPLETE,
@@ -322,7 +316,7 @@
             return
         if not self._engines.can_serve(engine, request.model, place.version):
             # The model's version changed after the prompt was placed.
-            self._is_model_refused = True
+            self._events.is_model_refused = True
             self._queue.put_nowait(Refused(attempt))
             return
         if attempt > 1:
@@ -387,7 +381,9 @@
         )
         async for batch in stream:
             for event in batch:
-                self._queue.put_nowait(self._translate(attempt, engine, request, event))
+                self._queue.put_nowait(
+                    self._events.translate(attempt, engine, request, event)
+                )
             if not self._reading.is_set():
                 await self._reading.wait()
             if self._queue.qsize() >= self._bound:
@@ -397,67 +393,14 @@
                 self._room.clear()
                 await self._room.wait()
 
-    def _translate(
-        self, attempt: int, engine: str, request: EngineRequest, event: EngineEvent
-    ) -> StreamEvent:
-        match event:
-            case EnginePiece(request_id, offset, tokens, text):
-                return Piece(attempt, request_id, offset, tokens, text)
-            case EngineEnd(request_id, tokens):
-                if request_id == request.request_id:
-                    self._engines.succeeded(engine)
-                    self._engines.freed(engine, request_id)
-                return Finished(attempt, request_id, tokens)
-            case Broken():
-                return self._broken(attempt, engine, event)
-        raise AssertionError(event)
-
-    def _broken(self, attempt: int, engine: str, event: Broken) -> StreamEvent:
-        match event.reason:
-            case "leaving":
-                self._engines.answered(engine, is_leaving=True)
-                return Refused(attempt)
-            case "refused" if event.failure.execution is Execution.NOT_RUN:
-                return Refused(attempt)
-            case "not_sent":
-                # The attempt was given up; this says nothing about the engine.
-                return ConnectFailed(attempt)
-            case "unknown_model":
-                self._is_model_refused = True
-                self._engines.refused_model(engine, self._request.model)
-                return Refused(attempt)
-            case "connect_failed":
-                self._engines.failed(engine)
-                return ConnectFailed(attempt)
-            case "silent":
-                self._engines.failed(engine)
-                return Silent(attempt)
-        self._engines.failed(engine)
-        return Reset(attempt)
-
-    def _set_timer(self, due: float) -> None:
-        """Make sure that a `Tick` comes at `due` or a little later.
-
-        A timer that is early enough is kept: a stream moves its next tick with each
-        token, and setting a timer for each would cost more than the token itself.
-        """
-        if due >= self._timer_at:
-            return
-        if self._timer is not None:
-            self._timer.cancel()
-        delay = max(0.0, due - self._core.now())
-        self._timer_at = due
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay, self._timer_fired)
-
-    def _timer_fired(self) -> None:
-        self._timer, self._timer_at = None, float("inf")
+    def _timer_fired(self) -> float | None:
+        """Report a due tick, or return when the next one is due."""
         assert self._attempts is not None
         due = self._attempts.next_tick()
-        if due <= self._core.now():
-            self._queue.put_nowait(Tick())
-        else:
-            self._set_timer(due)
+        if due > self._core.now():
+            return due
+        self._queue.put_nowait(Tick())
+        return None
 
     def lost(self, attempt: int) -> None:
         """Learn that the lease of an attempt's stream was lost."""
@@ -474,8 +417,7 @@
 
     def close(self) -> None:
         """Stop all attempts and give the engines' memory back."""
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.cancel()
         # A stream that still reads its end must not wait for a caller that is served.
         self._reading.set()
         self._room.set()
--- a/packages/standins/src/dandelionpond_standins/bench/ours.py
+++ b/packages/standins/src/dandelionpond_standins/bench/ours.py
@@ -1,54 +1,47 @@
-"""Drive the real decision code of the node for each of several nodes."""
+"""Drive the dispatcher of the node for each of several nodes."""
 
-import random
-from functools import partial
+from random import Random
 
-from dandelionpond.errors import ErrorKind
-from dandelionpond.limits.admission import Admission, EngineWindows
+from dandelionpond.config.schema import EngineUpstream, Settings
 from dandelionpond.limits.limiter import AccountLimiter, Admitted
 from dandelionpond.limits.messages import Share
-from dandelionpond.limits.queue import FairQueue, Queued
 from dandelionpond.limits.settings import AccountLimits, LimitsSettings
-from dandelionpond.routing.load import EngineTraits, LoadReport
+from dandelionpond.routing.dispatcher import (
+    DispatchAction,
+    Dispatcher,
+    Place,
+    PlaceGroup,
+    Refuse,
+    Work,
+)
+from dandelionpond.routing.load import LoadReport
 from dandelionpond.routing.prefixes import CacheEvent
-from dandelionpond.routing.router import RouteInput, Router
 from dandelionpond.routing.settings import RoutingSettings
 from dandelionpond_standins.bench.fleet import Fleet, Outcome
 from dandelionpond_standins.bench.workload import ACCOUNTS, NODES, Arrival
-from dandelionpond_standins.engine_model import ideal_ttft
 
 _EVENTS_S = 1.0
-_MIN_GROUP = 3
-_TOKEN_S = 0.11
+_MODEL = "m"
+_DECODE_TOKENS_PER_S = 1_000.0
 
 
 class _Node:
     """Own the slices of one node."""
 
-    def __init__(
-        self,
-        fleet: Fleet,
-        routing: RoutingSettings,
-        limits: LimitsSettings,
-        seed: int,
-        index: int,
-    ) -> None:
-        self.windows = EngineWindows(limits)
-        self.router = Router(routing, random.Random(seed), self.windows.is_open)
+    def __init__(self, fleet: Fleet, settings: Settings, seed: int, index: int) -> None:
         spec = fleet.spec
-        self.router.set_reach(
-            dict.fromkeys(
-                fleet.engines,
-                EngineTraits(spec.kv_capacity_tokens, spec.prefill_tokens_per_s, 1_000),
-            )
-        )
-        self.router.set_nodes(
-            f"node-{index}", tuple(f"node-{one}" for one in range(NODES))
+        engine = EngineUpstream(
+            "fd1",
+            "http://127.0.0.1:1",
+            (_MODEL,),
+            kv_capacity_tokens=spec.kv_capacity_tokens,
+            prefill_tokens_per_s=spec.prefill_tokens_per_s,
+            decode_tokens_per_s=_DECODE_TOKENS_PER_S,
         )
-        self.queue = FairQueue(limits, routing)
-        rate = spec.prefill_tokens_per_s * len(fleet.engines) / NODES
-        self.admission = Admission(limits, rate)
-        self.limiter = AccountLimiter(limits)
+        self.dispatcher = Dispatcher(f"node-{index}", settings, Random(seed), "fd1")
+        self.dispatcher.set_nodes(tuple(f"node-{one}" for one in range(NODES)))
+        self.dispatcher.configure(settings, dict.fromkeys(fleet.engines, engine))
+        self.limiter = AccountLimiter(settings.limits)
         # Limits of accounts stay out of the way here: fairness is measured.
         free = AccountLimits(1e9, 1e9, 1_000_000)
         self.limiter.set_shares(
@@ -59,6 +52,8 @@
         self.admitted: dict[str, Admitted] = {}
         self.next_seq = dict.fromkeys(fleet.engines, 1)
         self.events_at = 0.0
+        # Prompts whose engines had less memory than they seemed to have.
+        self.again: list[Arrival] = []
 
 
 class Ours:
@@ -68,71 +63,64 @@
         self, fleet: Fleet, routing: RoutingSettings, limits: LimitsSettings, seed: int
     ) -> None:
         self._fleet = fleet
+        settings = Settings(routing=routing, limits=limits)
         self._nodes = [
-            _Node(fleet, routing, limits, seed * 100 + index, index)
-            for index in range(NODES)
+            _Node(fleet, settings, seed * 100 + index, index) for index in range(NODES)
         ]
 
     def arrive(self, arrival: Arrival, now: float) -> None:
         """Admit or refuse, then dispatch."""
         node = self._nodes[arrival.node]
-        ideal = ideal_ttft(self._fleet.spec, arrival.prompt_tokens, 0)
-        needed = ideal + arrival.max_tokens * _TOKEN_S
         admitted = node.limiter.admit(arrival.account, arrival.tokens, now)
         if not isinstance(admitted, Admitted):
             self._fleet.refuse(arrival.request_id, admitted.kind, now)
             return
-        node.router.separation.arrived(
-            arrival.prompt_tokens, arrival.prompt_tokens, now
-        )
-        before = node.queue.tokens_before(arrival.account, 1.0, arrival.tokens, now)
-        _, outcome = node.admission.check(before, needed, arrival.timeout_s)
-        kind = None if outcome.is_admitted else ErrorKind.DEADLINE_UNREACHABLE
-        if kind is None:
-            item = Queued(
-                arrival.request_id,
-                arrival.account,
-                arrival.tokens,
-                now + arrival.timeout_s,
-                needed,
-                now,
-            )
-            kind = node.queue.offer(item, 1.0, now)
-        if kind is not None:
-            node.limiter.finished(admitted, 0.0, now)
-            self._fleet.refuse(arrival.request_id, kind, now)
-            return
         node.admitted[arrival.request_id] = admitted
-        self._dispatch(node, now)
+        self._offer(node, arrival, now)
+
+    def _offer(self, node: _Node, arrival: Arrival, now: float) -> None:
+        work = Work(
+            arrival.request_id,
+            arrival.account,
+            1.0,
+            _MODEL,
+            arrival.prompt_tokens,
+            arrival.max_tokens,
+            arrival.at + arrival.timeout_s,
+            arrival.hashes,
+        )
+        self._perform(node, node.dispatcher.arrive(work, now), now)
 
     def first_token(self, outcome: Outcome, now: float) -> None:
         """Teach the estimates."""
         node = self._nodes[outcome.arrival.node]
-        if len(outcome.engines) == 1:
-            name = outcome.arrival.request_id
-            node.router.first_token(name, outcome.engines[0], now)
-        self._dispatch(node, now)
+        name = outcome.arrival.request_id
+        node.dispatcher.first_token(name, outcome.engines[0], now)
+        self._perform(node, node.dispatcher.pump(now), now)
 
     def ended(self, outcome: Outcome, now: float) -> None:
         """Free what the node counts for a request."""
         arrival = outcome.arrival
         node = self._nodes[arrival.node]
-        node.queue.remove(arrival.request_id, arrival.account)
+        node.dispatcher.cancelled(arrival.request_id)
         admitted = node.admitted.pop(arrival.request_id, None)
         if admitted:
             node.limiter.finished(admitted, admitted.tokens, now)
-        node.router.finished(arrival.request_id, now)
-        for index in range(len(outcome.engines)):
-            node.router.finished(f"{arrival.request_id}#{index}", now)
-        self._dispatch(node, now)
+        tokens, decode_s = 0, 0.0
+        if outcome.finished_s is not None and outcome.ttft_s is not None:
+            tokens = arrival.max_tokens
+            decode_s = outcome.finished_s - outcome.ttft_s
+        name = arrival.request_id
+        self._perform(node, node.dispatcher.finished(name, tokens, decode_s, now), now)
 
     def poll(self, node: int, now: float) -> None:
         """Read late reports and cache events of all engines."""
         owner = self._nodes[node]
+        router = owner.dispatcher.router
         with_events = now - owner.events_at >= _EVENTS_S
         for name, engine in self._fleet.engines.items():
             load = engine.load(now)
-            owner.router.report(
+            router.report(
                 LoadReport(
                     name,
                     now - load.at,
@@ -147,72 +135,34 @@
                     owner.next_seq[name] = event.seq + 1
                     stored = event.hashes if event.action == "stored" else ()
                     removed = event.hashes if event.action == "removed" else ()
-                    owner.router.cache_event(
-                        CacheEvent(name, event.seq, stored, removed)
-                    )
+                    router.cache_event(CacheEvent(name, event.seq, stored, removed))
         if with_events:
             owner.events_at = now
 
     def tick(self, node: int, now: float) -> None:
         """Drop what is late, move roles and dispatch."""
         owner = self._nodes[node]
-        for expired in owner.queue.expire(now):
-            name = expired.item.request_id
-            self._fleet.refuse(name, expired.kind, now)
-            admitted = owner.admitted.pop(name, None)
-            if admitted:
-                owner.limiter.finished(admitted, 0.0, now)
-        owner.router.tick(now)
-        self._dispatch(owner, now)
-
-    def _dispatch(self, node: _Node, now: float) -> None:
-        while len(node.queue):
-            found: list[tuple[str, RouteInput, float]] = []
-            item = node.queue.pop(now, partial(self._fits, node, now, found))
-            if item is None:
-                return
-            if not found:
-                continue
-            [(engine, made, ttft)] = found
-            arrival = self._fleet.outcomes[item.request_id].arrival
-            node.router.sent(made, engine, ttft, arrival.hashes, now)
-            self._fleet.send(arrival, engine, made.request.priority, now)
-
-    def _fits(
-        self,
-        node: _Node,
-        now: float,
-        found: list[tuple[str, RouteInput, float]],
-        item: Queued,
-    ) -> bool:
-        arrival = self._fleet.outcomes[item.request_id].arrival
-        request = node.router.request(
-            item.request_id,
-            arrival.prompt_tokens,
-            arrival.max_tokens,
-            item.deadline - now,
-        )
-        if node.router.needs_group(request):
-            names = node.router.route_group(request, now, _MIN_GROUP)
-            if not names:
-                return False
-            if not self._fleet.try_group(arrival, names, request.priority, now):
-                return False
-            part = arrival.prompt_tokens // len(names)
-            for index, name in enumerate(names):
-                node.router.loads.sent(
-                    f"{arrival.request_id}#{index}",
-                    name,
-                    part,
-                    part + arrival.max_tokens,
-                    request.priority,
-                    1.0,
-                    now,
-                )
-            return True
-        waited = now - item.enqueued_at
-        choice, made = node.router.route(request, arrival.hashes, now, waited)
-        if choice.engine is None:
-            return False
-        found.append((choice.engine, made, choice.ttft_s))
-        return True
+        actions, _ = owner.dispatcher.tick(now)
+        self._perform(owner, actions, now)
+        again, owner.again = owner.again, []
+        for arrival in again:
+            if not self._fleet.outcomes[arrival.request_id].is_over:
+                self._offer(owner, arrival, now)
+
+    def _perform(self, node: _Node, actions: list[DispatchAction], now: float) -> None:
+        for action in actions:
+            arrival = self._fleet.outcomes[action.request_id].arrival
+            match action:
+                case Place(engine=engine, priority=level):
+                    self._fleet.send(arrival, engine, level, now)
+                case PlaceGroup(engines=names, priority=level):
+                    if not self._fleet.try_group(arrival, names, level, now):
+                        node.again.append(arrival)
+                        name = arrival.request_id
+                        done = node.dispatcher.finished(name, 0, 0.0, now)
+                        self._perform(node, done, now)
+                case Refuse(failure=failure):
+                    admitted = node.admitted.pop(arrival.request_id, None)
+                    if admitted:
+                        node.limiter.finished(admitted, 0.0, now)
+                    self._fleet.refuse(arrival.request_id, failure.kind, now)
--- a/packages/standins/src/dandelionpond_standins/config_slopes.py
+++ b/packages/standins/src/dandelionpond_standins/config_slopes.py
@@ -73,7 +73,7 @@
             f"engine-{i:05}": {
                 "kind": "engine",
                 "failure_domain": f"domain-{i % 8}",
-                "url": f"http://10.0.{i // 250}.{i % 250}:8000",
+                "url": f"http://127.0.0.1:{20_000 + i}",
                 "models": [f"model-{i % 37:02}"],
             }
             for i in range(index * per_file, min((index + 1) * per_file, upstreams))
