--- a/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
@@ -9,8 +9,6 @@
 from dandelionpond.errors import ErrorKind, Failure
 from dandelionpond.limits.admission import (
     Admission,
-    AdmissionInput,
-    AdmissionOutcome,
     EngineWindows,
     admission_failure,
 )
@@ -19,13 +17,19 @@
 from dandelionpond.routing.choice import (
     MAX_CANDIDATES,
     Candidate,
-    RouteChoice,
     RouteRequest,
     choose,
     choose_group,
     estimate_ttft,
 )
 from dandelionpond.routing.load import EngineTraits
+from dandelionpond.routing.messages import (
+    DispatchAction,
+    Place,
+    PlaceGroup,
+    Refuse,
+    Work,
+)
 from dandelionpond.routing.outliers import Ejected, Returned
 from dandelionpond.routing.reach import engines_in_reach
 from dandelionpond.routing.readiness import Readiness
@@ -38,67 +42,6 @@
 _DEFAULT_RETRY_S = 1.0
 
 
-class Work(msgspec.Struct, frozen=True):
-    """Describe one admitted prompt; `deadline` is in monotonic seconds."""
-
-    request_id: str
-    account: str
-    weight: float
-    model: str
-    prompt_tokens: int
-    max_tokens: int
-    deadline: float
-    prefix_hashes: tuple[int, ...] = ()
-
-    @property
-    def kv_tokens(self) -> int:
-        """Return the engine memory taken at the end, in tokens."""
-        return self.prompt_tokens + self.max_tokens
-
-
-class Place(msgspec.Struct, frozen=True, tag=True):
-    """Send a prompt to an engine; `others` are its replacements, best first.
-
-    `made` and `choice` are the recorded input and outcome of the decision. All engines
-    hold `version` of the model; empty means that they do not report it.
-    """
-
-    request_id: str
-    engine: str
-    others: tuple[str, ...]
-    priority: int
-    ttft_s: float
-    made: RouteInput
-    choice: RouteChoice
-    version: str = ""
-
-
-class PlaceGroup(msgspec.Struct, frozen=True, tag=True):
-    """Reserve `part_tokens` of memory on each engine and send the prompt."""
-
-    request_id: str
-    engines: tuple[str, ...]
-    part_tokens: int
-    priority: int
-    ttft_s: float
-    version: str = ""
-
-
-class Refuse(msgspec.Struct, frozen=True, tag=True):
-    """Answer a failure; nothing was sent.
-
-    `made` and `outcome` are recorded if the refusal was decided by the estimate.
-    """
-
-    request_id: str
-    failure: Failure
-    made: AdmissionInput | None = None
-    outcome: AdmissionOutcome | None = None
-
-
-DispatchAction = Place | PlaceGroup | Refuse
-
-
 class Dispatcher:
     """Own the waiting prompts of a node and what it knows of engines.
 
--- a/packages/dandelionpond/src/dandelionpond/routing/tests/test_readiness.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/tests/test_readiness.py
@@ -3,7 +3,8 @@
 from random import Random
 
 from dandelionpond.config.schema import EngineUpstream, FailureDomain, Model, Settings
-from dandelionpond.routing.dispatcher import Dispatcher, Place, PlaceGroup, Refuse, Work
+from dandelionpond.routing.dispatcher import Dispatcher
+from dandelionpond.routing.messages import Place, PlaceGroup, Refuse, Work
 from dandelionpond.routing.readiness import Readiness
 
 
--- a/packages/dandelionpond/src/dandelionpond/routing/tests/test_replacements.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/tests/test_replacements.py
@@ -3,8 +3,9 @@
 from random import Random
 
 from dandelionpond.config.schema import EngineUpstream, Settings
-from dandelionpond.routing.dispatcher import Dispatcher, Place, Work
+from dandelionpond.routing.dispatcher import Dispatcher
 from dandelionpond.routing.load import LoadReport
+from dandelionpond.routing.messages import Place, Work
 
 
 class TestReplacements:
--- a/packages/dandelionpond/src/dandelionpond/runtime/engines.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/engines.py
@@ -11,15 +11,15 @@
 from dandelionpond.errors import Failure
 from dandelionpond.limits.admission import AdmissionInput
 from dandelionpond.membership.messages import UpstreamChanged
-from dandelionpond.routing.dispatcher import (
+from dandelionpond.routing.dispatcher import Dispatcher
+from dandelionpond.routing.load import LoadReport
+from dandelionpond.routing.messages import (
     DispatchAction,
-    Dispatcher,
     Place,
     PlaceGroup,
     Refuse,
     Work,
 )
-from dandelionpond.routing.load import LoadReport
 from dandelionpond.routing.outliers import Ejected, Returned
 from dandelionpond.routing.prefixes import CacheEvent
 from dandelionpond.runtime.core import Core
--- a/packages/dandelionpond/src/dandelionpond/runtime/placement.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/placement.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from dandelionpond.errors import ErrorKind, Failure
-from dandelionpond.routing.dispatcher import Place, PlaceGroup, Refuse, Work
+from dandelionpond.routing.messages import Place, PlaceGroup, Refuse, Work
 from dandelionpond.runtime.core import Core
 from dandelionpond.runtime.engines import Engines
 
--- a/packages/dandelionpond/src/dandelionpond/runtime/prompt_run.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/prompt_run.py
@@ -34,7 +34,7 @@
     Taken,
     Tick,
 )
-from dandelionpond.routing.dispatcher import PlaceGroup, Refuse, Work
+from dandelionpond.routing.messages import PlaceGroup, Refuse, Work
 from dandelionpond.runtime.core import Core
 from dandelionpond.runtime.engine_events import EngineEvents
 from dandelionpond.runtime.engines import Engines
--- a/packages/dandelionpond/src/dandelionpond/runtime/tests/test_engines.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/tests/test_engines.py
@@ -5,7 +5,7 @@
 
 from dandelionpond.clock import ManualClock
 from dandelionpond.config.local import LocalSettings
-from dandelionpond.routing.dispatcher import Work
+from dandelionpond.routing.messages import Work
 from dandelionpond.runtime.core import Core, new_identity
 from dandelionpond.runtime.engines import Engines
 from dandelionpond_standins.sample import ACCOUNT, MODEL, Sample
--- a/packages/dandelionpond/src/dandelionpond/runtime/tests/test_placement.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/tests/test_placement.py
@@ -5,7 +5,7 @@
 from types import SimpleNamespace
 
 from dandelionpond.errors import ErrorKind, Failure
-from dandelionpond.routing.dispatcher import PlaceGroup, Refuse, Work
+from dandelionpond.routing.messages import PlaceGroup, Refuse, Work
 from dandelionpond.runtime import placement
 from dandelionpond.runtime.placement import Placement
 
--- a/packages/standins/src/dandelionpond_standins/bench/ours.py
+++ b/packages/standins/src/dandelionpond_standins/bench/ours.py
@@ -6,15 +6,15 @@
 from dandelionpond.limits.limiter import AccountLimiter, Admitted
 from dandelionpond.limits.messages import Share
 from dandelionpond.limits.settings import AccountLimits, LimitsSettings
-from dandelionpond.routing.dispatcher import (
+from dandelionpond.routing.dispatcher import Dispatcher
+from dandelionpond.routing.load import LoadReport
+from dandelionpond.routing.messages import (
     DispatchAction,
-    Dispatcher,
     Place,
     PlaceGroup,
     Refuse,
     Work,
 )
-from dandelionpond.routing.load import LoadReport
 from dandelionpond.routing.prefixes import CacheEvent
 from dandelionpond.routing.settings import RoutingSettings
 from dandelionpond_standins.bench.fleet import Fleet, Outcome
