Test late answers, upstream references and unreadable folders

A mutation that ignored the call number survived all tests; the new test of an old answer during a new watch fails on it. The stand-in keeps its last state if its folder cannot be listed.

--- a/packages/dandelionpond/src/dandelionpond/config/tests/test_distribution.py
+++ b/packages/dandelionpond/src/dandelionpond/config/tests/test_distribution.py
@@ -178,6 +178,16 @@
         assert not reader.in_doubt
         assert only(actions + reader.handle(Tick(), 61.0), WatchPlatform)
 
+    def test_old_answer_while_a_new_watch_is_open(self):
+        """Guard against an old answer that is taken for the answer to a new call."""
+        reader, old = watching()
+        fetch = only(reader.handle(Tick(), 60.0), FetchFromPeer)[0]
+        actions = reader.handle(PeerFetched(fetch.call, 5), 60.1)
+        [new] = only(actions + reader.handle(Tick(), 61.0), WatchPlatform)
+        assert reader.handle(WatchAnswered(old.call, 6), 61.1) == []
+        assert reader.counters.late_ignored == 1
+        assert only(reader.handle(WatchAnswered(new.call, 6), 61.2), ReadFolder)
+
 
 class TestBackoff:
     def test_failures_are_spread(self):
--- a/packages/dandelionpond/src/dandelionpond/config/tests/test_merge.py
+++ b/packages/dandelionpond/src/dandelionpond/config/tests/test_merge.py
@@ -135,6 +135,10 @@
         full = {"version": "1", "max_prompt_tokens": rng.choice([1, 2, "x"])}
         return rng.choice([full, full, None, {"version": rng.choice("ab")}, 5])
 
+    def engine() -> object:
+        models = [rng.choice("mn")]
+        return {"kind": "engine", "failure_domain": "a", "url": "u", "models": models}
+
     choices: dict[str, object] = {
         "models": rng.choice(
             [{}, None, {n: model() for n in "mn"}, {"m": model()}, {"m": model()}]
@@ -144,6 +148,8 @@
             for n in rng.sample("cd", rng.randint(0, 2))
         },
         "limits": rng.choice([{"max_queue": rng.randint(1, 3)}, None, 4, {}]),
+        "failure_domains": rng.choice([{"a": {}}, {"a": {}}, {"a": None}]),
+        "upstreams": rng.choice([{"u": engine()}, {"u": engine()}, {"u": None}, 3]),
     }
     names = rng.sample(sorted(choices), rng.randint(0, 3))
     return {name: choices[name] for name in names}
@@ -156,8 +162,10 @@
         merger, files, accepted = Merger(), {}, 0
         for _ in range(1_500):
             name = f"1{rng.randint(0, 3)}-f.json"
-            if rng.random() < 0.3:
+            if rng.random() < 0.3 or files.get(name) == b"{":
                 files.pop(name, None)
+            elif rng.random() < 0.05:
+                files[name] = b"{"
             else:
                 files[name] = json.dumps(_random_document(rng)).encode()
             reused, fresh = merger.merge(files), merge_folder(files)
--- a/packages/standins/src/dandelionpond_standins/platform.py
+++ b/packages/standins/src/dandelionpond_standins/platform.py
@@ -65,7 +65,13 @@
     async def _poll(self) -> None:
         while True:
             await asyncio.sleep(self._poll_s)
-            if self._store.scan():
+            try:
+                changed = self._store.scan()
+            except OSError as error:
+                # The folder may be replaced as a whole; the last state is served on.
+                print(f"platform: {error}", file=sys.stderr)
+                continue
+            if changed:
                 self._wake()
 
     def _wake(self) -> None:
