Hash prefixes in blocks of the length that the settings give

Cause: prompts were hashed in blocks of 256 tokens, while the prefix map counted blocks of `prefix_block_tokens`; another setting would have counted cached tokens wrongly. The same hash stood twice. Ruled out: dropping the setting, since engines have different block lengths. Conclusion: one function, with the length passed in.

--- a/packages/dandelionpond/src/dandelionpond/http/callers.py
+++ b/packages/dandelionpond/src/dandelionpond/http/callers.py
@@ -211,7 +211,9 @@
                 form.model,
                 prompt,
                 tokens,
-                prefix_hashes(form.model, data),
+                prefix_hashes(
+                    form.model, data, caller.settings.routing.prefix_block_tokens
+                ),
                 min(max_tokens or DEFAULT_MAX_TOKENS, model.max_output_tokens),
                 caller.deadline,
                 options,
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/http/tests/test_tokens.py
@@ -0,0 +1,27 @@
+"""Test the estimate of lengths and the hashes of prefixes."""
+
+from dandelionpond.http.tokens import estimate_tokens, prefix_hashes
+
+
+class TestPrefixHashes:
+    def test_hash_depends_on_all_earlier_blocks_and_on_the_model(self):
+        """Guard against equal hashes for equal blocks after different prefixes."""
+        first = prefix_hashes("m", b"aaaabbbbcc", 1)
+        second = prefix_hashes("m", b"zzzzbbbb", 1)
+        assert len(first) == 2
+        assert first[1] != second[1]
+        assert prefix_hashes("m", b"aaaabbbb", 1) == first
+        assert prefix_hashes("other", b"aaaabbbb", 1)[1] != first[1]
+
+    def test_block_follows_the_setting(self):
+        """Guard against blocks counted with another length than they are hashed with."""
+        assert len(prefix_hashes("m", b"x" * 64, 2)) == 8
+        assert (
+            prefix_hashes("m", b"x" * 64, 4) == prefix_hashes("m", b"x" * 64, 2)[1::2]
+        )
+
+
+class TestEstimate:
+    def test_a_part_of_a_token_counts_as_one(self):
+        """Guard against a short prompt that counts as free."""
+        assert [estimate_tokens(b"x" * n) for n in (0, 1, 4, 5)] == [1, 1, 1, 2]
--- a/packages/dandelionpond/src/dandelionpond/http/tokens.py
+++ b/packages/dandelionpond/src/dandelionpond/http/tokens.py
@@ -8,8 +8,7 @@
 
 # Typical English text has about 4 bytes a token.
 BYTES_PER_TOKEN = 4
-BLOCK_TOKENS = 256
-# Blocks past this count are not hashed; 1,024 blocks cover 262,144 tokens.
+# Blocks past this count are not hashed; 1,024 blocks of 256 cover 262,144 tokens.
 MAX_HASHED_BLOCKS = 1_024
 
 
@@ -18,13 +17,13 @@
     return max(1, -(-len(prompt) // BYTES_PER_TOKEN))
 
 
-def prefix_hashes(model: str, prompt: bytes) -> tuple[int, ...]:
+def prefix_hashes(model: str, prompt: bytes, block_tokens: int) -> tuple[int, ...]:
     """Return a chained 64-bit hash for each whole block of a prompt.
 
     Each hash covers the prompt up to the end of its block and the model, so equal
-    hashes mean equal prefixes on the same model.
+    hashes mean equal prefixes on the same model. A block has `block_tokens` tokens.
     """
-    size = BLOCK_TOKENS * BYTES_PER_TOKEN
+    size = block_tokens * BYTES_PER_TOKEN
     blocks = min(len(prompt) // size, MAX_HASHED_BLOCKS)
     state = xxhash.xxh3_64(model.encode())
     view = memoryview(prompt)
--- a/packages/dandelionpond/src/dandelionpond/routing/prefixes.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/prefixes.py
@@ -3,7 +3,6 @@
 from collections import OrderedDict
 
 import msgspec
-import xxhash
 
 from dandelionpond.routing.settings import RoutingSettings
 
@@ -26,17 +25,6 @@
     cleared: bool = False
 
 
-def block_hashes(tokens: bytes, block_bytes: int) -> tuple[int, ...]:
-    """Return one chained 64-bit hash for each whole block of a prompt's bytes."""
-    hashes: list[int] = []
-    previous = 0
-    for start in range(0, len(tokens) - block_bytes + 1, block_bytes):
-        block = tokens[start : start + block_bytes]
-        previous = xxhash.xxh3_64_intdigest(block, seed=previous)
-        hashes.append(previous)
-    return tuple(hashes)
-
-
 class PrefixMap:
     """Map block hashes to engines, fed by own sends and by cache events.
 
--- a/packages/dandelionpond/src/dandelionpond/routing/tests/test_prefixes.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/tests/test_prefixes.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from dandelionpond.routing.prefixes import CacheEvent, PrefixMap, block_hashes
+from dandelionpond.routing.prefixes import CacheEvent, PrefixMap
 from dandelionpond.routing.settings import RoutingSettings
 
 
@@ -46,13 +46,3 @@
         for name in "bcdefg":
             prefixes.sent(name, (5,))
         assert set(prefixes.cached_tokens((5,))) == set("defg")
-
-
-class TestBlockHashes:
-    def test_hash_depends_on_all_earlier_blocks(self):
-        """Guard against equal hashes for equal blocks after different prefixes."""
-        first = block_hashes(b"aaaabbbbcc", 4)
-        second = block_hashes(b"zzzzbbbb", 4)
-        assert len(first) == 2
-        assert first[1] != second[1]
-        assert block_hashes(b"aaaabbbb", 4) == first
