--- a/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
+++ b/packages/dandelionpond/src/dandelionpond/routing/dispatcher.py
@@ -135,14 +135,16 @@
         rates = [engine.prefill_tokens_per_s for engine in self._usable.values()]
         return sum(rates) / max(1, len(self._nodes))
 
-    def set_ready(self, engine: str, models: dict[str, str] | None) -> None:
+    def set_ready(
+        self, engine: str, models: dict[str, str] | None, asked_at: float
+    ) -> None:
         """Record the versions of the models that an engine reports as ready."""
-        self.readiness.reported(engine, models)
+        self.readiness.reported(engine, models, asked_at)
 
-    def set_not_ready(self, engine: str, model: str) -> None:
-        """Record that an engine refused a model, until its next report."""
+    def set_not_ready(self, engine: str, model: str, now: float) -> None:
+        """Record that an engine refused a model, until a later report."""
         self.counters["refused_model"] += 1
-        self.readiness.refused(engine, model)
+        self.readiness.refused(engine, model, now)
 
     def arrive(self, work: Work, now: float) -> list[DispatchAction]:
         """Take a prompt and return what to do with it and with others."""
--- a/packages/dandelionpond/src/dandelionpond/runtime/engines.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/engines.py
@@ -168,7 +168,7 @@
 
     def refused_model(self, engine: str, model: str) -> None:
         """Learn that an engine does not serve a model in the version asked for."""
-        self.dispatcher.set_not_ready(engine, model)
+        self.dispatcher.set_not_ready(engine, model, self._core.now())
 
     def answered(self, engine: str, is_leaving: bool) -> None:
         """Take in what an engine says of itself."""
@@ -244,6 +244,7 @@
         return max(routing.load_interval_s, spread)
 
     async def _ask_load(self, engine: str, client: EngineClient) -> None:
+        asked_at = self._core.now()
         result = await client.load(CALL_TIMEOUT_S)
         now = self._core.now()
         if result.is_error():
@@ -262,7 +263,7 @@
             float(load.kv_tokens_used),
             load.running_requests,
         )
-        self.dispatcher.set_ready(engine, load.models)
+        self.dispatcher.set_ready(engine, load.models, asked_at)
         self.dispatcher.router.report(report, now)
         self._perform(self.dispatcher.pump(now))
 
--- a/packages/dandelionpond/src/dandelionpond/runtime/prompt_run.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/prompt_run.py
@@ -206,11 +206,18 @@
         return is_group and attempts.is_in_doubt and self._placement.count < limit
 
     async def _place_again(self, failure: Failure) -> Failure | None:
-        """Place a failed prompt once more, or return the failure that ends it."""
-        limit = self._core.settings.requests.max_attempts
-        if not self._may_place_again(failure) or self._placement.count >= limit:
+        """Place a failed prompt once more, or return the failure that ends it.
+
+        A prompt that no engine took for its version is placed until its deadline: it
+        did not run, and an engine that refused it gets no other one before its next
+        report.
+        """
+        if not self._may_place_again(failure):
             return failure
-        if not self._events.is_model_refused and not self._budget().take():
+        limit = self._core.settings.requests.max_attempts
+        if not self._events.is_model_refused and (
+            self._placement.count >= limit or not self._budget().take()
+        ):
             return failure
         self._may_have_run |= failure.execution is not Execution.NOT_RUN
         self._events.is_model_refused = False
