--- a/packages/standins/tests/test_proof_settings.py
+++ b/packages/standins/tests/test_proof_settings.py
@@ -265,8 +265,8 @@
             await fleet.platform(mode="down")
             await fleet.counters("DELETE")
             await asyncio.sleep(3.0)
-            # Three readers, each with a pause of 0.5 s to 2 s after a failure. The lower
-            # bound waits, because on a busy machine a reader may be late.
+            # Three readers, each with a pause of 0.5 s to 2 s after a failure. The
+            # lower bound waits, because on a busy machine a reader may be late.
             assert reads_of(await fleet.counters()) <= 3 * 8
 
             async def each_tried():
