Use one Vm message and remove code that nothing calls

The platform client and the membership slice each defined the same Vm, and the runtime copied one into the other field by field for each entry of every list read. The client now decodes into the membership slice's Vm and the copy is gone. Nothing read Keeper.accepted_at or the stand-in cache's idle_among; both are removed. The stand-ins' listen() repeated socket.create_server, which the engine and platform stand-ins already call.

Ruled out: Separation.reserved_short looks unused, but a test reads it by name, so it stays. The EngineClient protocol and its client share their signatures by design. Wire and typed messages of peers and engines stay apart, as they differ in checks.

Conclusion: a message that only crosses a slice needs one definition.

--- a/packages/dandelionpond/src/dandelionpond/adapters/platform.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/platform.py
@@ -11,6 +11,8 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from dandelionpond.membership.messages import Vm
+
 MAX_VALUE_BYTES = 1_000_000
 # 20,000 file names or VMs of up to 200 bytes each, with room to double.
 MAX_LISTING_BYTES = 8_000_000
@@ -64,16 +66,6 @@
     revision: int
 
 
-class Vm(msgspec.Struct, frozen=True):
-    """Describe one VM; `state` is `live` or `leaving`."""
-
-    name: str
-    role: str
-    address: str
-    failure_domain: str
-    state: str
-
-
 class VmList(msgspec.Struct, frozen=True):
     """Hold the platform's list of VMs, which lags behind."""
 
--- a/packages/dandelionpond/src/dandelionpond/config/keeper.py
+++ b/packages/dandelionpond/src/dandelionpond/config/keeper.py
@@ -103,7 +103,6 @@
     """Own the revision in force; it never moves backwards."""
 
     __slots__ = (
-        "_accepted_at",
         "_contents",
         "_files",
         "_folder_hash",
@@ -121,7 +120,6 @@
         self._merger = Merger()
         self._merged: Merged | None = None
         self._revision = 0
-        self._accepted_at: float | None = None
         self._files: dict[str, bytes] = {}
         self._hashes: dict[str, str] = {}
         self._contents: dict[str, bytes] = {}
@@ -149,11 +147,6 @@
         """Return the hash over names and contents in force, or an empty string."""
         return self._folder_hash
 
-    @property
-    def accepted_at(self) -> float | None:
-        """Return when the revision in force was accepted, in monotonic seconds."""
-        return self._accepted_at
-
     @property
     def total_bytes(self) -> int:
         """Return the size of all files in force, in bytes."""
@@ -199,7 +192,7 @@
                 if self._hashes.get(name) != hashes.get(name)
             }
             self._steps.append(_Step(self._folder_hash, former))
-        self._revision, self._accepted_at = revision, now
+        self._revision = revision
         self._files, self._hashes, self._folder_hash = dict(files), hashes, folder_hash
         self._contents = {hashes[name]: content for name, content in files.items()}
         self.counters.accepted += 1
--- a/packages/dandelionpond/src/dandelionpond/membership/messages.py
+++ b/packages/dandelionpond/src/dandelionpond/membership/messages.py
@@ -60,7 +60,7 @@
 
 
 class Vm(msgspec.Struct, frozen=True):
-    """Describe one entry of the platform's list."""
+    """Describe one VM of the platform's list; `state` is `live` or `leaving`."""
 
     name: str
     role: str
--- a/packages/dandelionpond/src/dandelionpond/runtime/platform.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/platform.py
@@ -1,7 +1,6 @@
 """Read the platform's list of VMs."""
 
 from dandelionpond.adapters.platform import PlatformClient
-from dandelionpond.membership.messages import Vm
 from dandelionpond.runtime.core import Core
 from dandelionpond.runtime.distribution import DistributionRunner
 from dandelionpond.runtime.gossip import Gossip
@@ -51,8 +50,4 @@
             return
         self.counters["read"] += 1
         self._read_at = now
-        vms = tuple(
-            Vm(vm.name, vm.role, vm.address, vm.failure_domain, vm.state)
-            for vm in result.ok.vms
-        )
-        self._gossip.platform_list(result.ok.revision, vms)
+        self._gossip.platform_list(result.ok.revision, result.ok.vms)
--- a/packages/standins/src/dandelionpond_standins/engine_cache.py
+++ b/packages/standins/src/dandelionpond_standins/engine_cache.py
@@ -41,10 +41,6 @@
                 return index
         return len(hashes)
 
-    def idle_among(self, hashes: Iterable[int]) -> int:
-        """Return how many of the blocks are cached but not in use."""
-        return sum(block in self._idle for block in hashes)
-
     def pin(self, hashes: Iterable[int], now: float) -> None:
         """Store the missing blocks and count one more user for each block."""
         stored = []
--- a/packages/standins/src/dandelionpond_standins/platform.py
+++ b/packages/standins/src/dandelionpond_standins/platform.py
@@ -17,8 +17,9 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from dandelionpond.adapters.platform import MAX_VALUE_BYTES, Vm
+from dandelionpond.adapters.platform import MAX_VALUE_BYTES
 from dandelionpond.clock import SystemClock
+from dandelionpond.membership.messages import Vm
 from dandelionpond_standins.platform_store import Mode, PlatformStore
 
 MAX_WATCHES = 4_096
--- a/packages/standins/src/dandelionpond_standins/platform_store.py
+++ b/packages/standins/src/dandelionpond_standins/platform_store.py
@@ -8,8 +8,9 @@
 
 import msgspec
 
-from dandelionpond.adapters.platform import Vm, VmList
+from dandelionpond.adapters.platform import VmList
 from dandelionpond.clock import Clock
+from dandelionpond.membership.messages import Vm
 
 MAX_SNAPSHOTS = 64
 MAX_VM_CHANGES = 100_000
--- a/packages/standins/src/dandelionpond_standins/service.py
+++ b/packages/standins/src/dandelionpond_standins/service.py
@@ -241,11 +241,7 @@
 
 def listen(host: str, port: int) -> socket.socket:
     """Return a listening socket."""
-    listener = socket.socket()
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host, port))
-    listener.listen(1_024)
-    return listener
+    return socket.create_server((host, port), backlog=1_024)
 
 
 def server(app: Any) -> uvicorn.Server:
--- a/packages/standins/src/dandelionpond_standins/tests/test_platform.py
+++ b/packages/standins/src/dandelionpond_standins/tests/test_platform.py
@@ -11,10 +11,10 @@
 from dandelionpond.adapters.platform import (
     HttpPlatformClient,
     PlatformFault,
-    Vm,
     read_folder,
 )
 from dandelionpond.clock import ManualClock
+from dandelionpond.membership.messages import Vm
 from dandelionpond_standins.platform_store import PlatformStore
 
 VM = Vm("e1", "engine", "127.0.0.1:1", "a", "live")
