--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the published routes: listener, attempts, platform reads and peers."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/entry/attempts.py
@@ -0,0 +1,236 @@
+"""Carry out attempts: what plain calls and prompts have in common."""
+
+import asyncio
+import logging
+
+import msgspec
+
+from dandelionpond.entry.exchange import Exchange, ExchangeError, Exchanger
+from dandelionpond.entry.fleet import Fleet
+from dandelionpond.entry.incoming import Incoming, Reply
+from dandelionpond.errors import ANSWERS, ErrorKind
+from dandelionpond.forwarding.messages import (
+    AnswerHead,
+    AttemptHead,
+    Broken,
+    Dialect,
+    Errored,
+    Helper,
+    NotSent,
+    Outcome,
+    Rejected,
+    Silent,
+)
+from dandelionpond.forwarding.policy import (
+    BreakOff,
+    Deliver,
+    Progress,
+    Refuse,
+    TryAgain,
+    after,
+)
+from dandelionpond.published.messages import UpstreamEntry
+
+log = logging.getLogger("dandelionpond.requests")
+
+# Largest answer of a plain service that is held until it is complete, in bytes.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Time in seconds after which a client may come back that was refused for want of an
+# upstream; a list of upstreams is renewed about once in this time.
+RETRY_AFTER_S = 0.5
+
+
+class FailedAnswer(msgspec.Struct, frozen=True):
+    """Hold a failure that an upstream answered, to be passed on unchanged."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class Trace:
+    """Collect what the log line of a request says about its attempts."""
+
+    __slots__ = ("attempts", "predicted_s")
+
+    def __init__(self) -> None:
+        self.attempts: list[dict[str, object]] = []
+        self.predicted_s = 0.0
+
+
+class Attempt(msgspec.Struct):
+    """Hold the result of one attempt: an outcome, or None if the answer is complete."""
+
+    outcome: Outcome | None
+    failed: FailedAnswer | None = None
+
+
+class Forwarder:
+    """Share connections, headers and the end of requests among the kinds of request."""
+
+    def __init__(self, fleet: Fleet, exchanger: Exchanger, dialect: Dialect) -> None:
+        self.fleet = fleet
+        self.exchanger = exchanger
+        self.dialect = dialect
+        self.counters: dict[str, int] = {}
+
+    def count(self, event: str) -> None:
+        """Count an event; names are constants of the code."""
+        self.counters[event] = self.counters.get(event, 0) + 1
+
+    async def open(
+        self,
+        call: Incoming,
+        entry: UpstreamEntry,
+        limit_s: float,
+        last_event: int | None = None,
+        helpers: tuple[Helper, ...] = (),
+    ) -> Exchange | Outcome:
+        """Send a request and return the answer once its head is there."""
+        remaining = call.deadline_at - self.fleet.now()
+        account = call.account.name if call.account else None
+        head = AttemptHead(
+            remaining, entry.instance, account, last_event, helpers, _priority(call)
+        )
+        headers = self.dialect.attempt(call.headers, head)
+        began = self.fleet.now()
+        try:
+            async with asyncio.timeout(max(0.001, limit_s)):
+                return await self.exchanger.open(
+                    entry.address, call.method, call.target, headers, call.body
+                )
+        except ExchangeError as error:
+            return error.outcome
+        except TimeoutError:
+            return Silent(self.fleet.now() - began)
+
+    def judge(self, call: Incoming, exchange: Exchange) -> AnswerHead | Outcome:
+        """Return the head of a success, or the outcome that the head already shows."""
+        head = self.dialect.answer(exchange.status, exchange.headers)
+        if head.request_id is not None and head.request_id != call.head.request_id:
+            return Broken("answer to another request")
+        if head.is_not_run:
+            return Rejected(head.status, head.at_fault)
+        if head.is_encoded:
+            return Broken("encoded body")
+        if head.status < 300 and not head.is_stamped:
+            return Broken("success without a stamp")
+        return head
+
+    async def failure(
+        self, call: Incoming, exchange: Exchange, head: AnswerHead
+    ) -> Attempt:
+        """Read the rest of a failure that the upstream answered."""
+        remaining = call.deadline_at - self.fleet.now()
+        try:
+            async with asyncio.timeout(max(0.001, remaining)):
+                body = await exchange.read_all(MAX_ANSWER_BYTES)
+        except ExchangeError as error:
+            return Attempt(error.outcome)
+        except TimeoutError:
+            return Attempt(Silent(remaining))
+        headers = self.dialect.passed_on(exchange.headers, is_stream=False)
+        return Attempt(Errored(head.status), FailedAnswer(head.status, headers, body))
+
+    def learn(self, entry: UpstreamEntry, outcome: Outcome) -> None:
+        """Tell the fleet what an outcome says about an upstream."""
+        match outcome:
+            case NotSent() | Broken() | Silent():
+                self.fleet.failed(entry.instance)
+            case Rejected(at_fault=at_fault) if at_fault is not None:
+                self._blame(entry, at_fault)
+            case Rejected(status=421):
+                self.fleet.failed(entry.instance)
+            case Rejected() | Errored():
+                pass
+
+    async def settle(
+        self, call: Incoming, progress: Progress, attempt: Attempt, reply: Reply
+    ) -> bool:
+        """Act on a failed attempt; return whether to try again."""
+        fleet = self.fleet
+        assert attempt.outcome is not None
+        remaining = call.deadline_at - fleet.now()
+        share = fleet.budget(call.service)
+        step = after(attempt.outcome, progress, remaining, share.has(fleet.now()))
+        match step:
+            case TryAgain(takes_budget):
+                if takes_budget:
+                    share.take(fleet.now())
+                return True
+            case Deliver():
+                failed = attempt.failed
+                assert failed is not None
+                await reply.whole(failed.status, failed.headers, failed.body)
+            case Refuse(kind):
+                await self.refuse(call, reply, kind)
+            case BreakOff():
+                self.count("broken_off")
+        return False
+
+    async def refuse(
+        self,
+        call: Incoming,
+        reply: Reply,
+        kind: ErrorKind,
+        retry_after_s: float = RETRY_AFTER_S,
+    ) -> None:
+        """Answer with an error kind of this node's own."""
+        self.count(f"refused_{kind}")
+        answer = ANSWERS[kind]
+        wait = retry_after_s if answer.may_repeat else None
+        headers = self.dialect.refusal(call.head.request_id, wait)
+        await reply.whole(answer.status, headers, f"{kind}\n".encode())
+
+    def log_end(self, call: Incoming, reply: Reply, trace: Trace, why: str) -> None:
+        """Write the line that tells how a request went."""
+        now = self.fleet.now()
+        age = self.fleet.keeper.age_s(now)
+        log.info(
+            "request ended",
+            extra={
+                "request_id": call.head.request_id,
+                "route": call.route.name,
+                "service": call.service,
+                "status": reply.status,
+                "complete": reply.is_complete,
+                "why": why,
+                "took_s": round(now - call.arrived_at, 3),
+                "left_s": round(call.deadline_at - now, 3),
+                "predicted_s": round(trace.predicted_s, 3),
+                "prompt_tokens": call.head.prompt_tokens,
+                "attempts": trace.attempts,
+                "version": self.fleet.keeper.version,
+                "list_age_s": None if age is None else round(age, 3),
+            },
+        )
+
+    def _blame(self, entry: UpstreamEntry, at_fault: str) -> None:
+        for candidate in self.fleet.keeper.entries(self.fleet.now()):
+            if candidate.address == at_fault or candidate.instance == at_fault:
+                self.fleet.failed(candidate.instance)
+                return
+        self.fleet.failed(entry.instance)
+
+
+def _priority(call: Incoming) -> int | None:
+    if call.account is not None and call.account.priority is not None:
+        return call.account.priority
+    return call.route.priority
+
+
+def describe(outcome: Outcome | None) -> str:
+    """Return an outcome as short text for a log line."""
+    match outcome:
+        case None:
+            return "complete"
+        case NotSent(reason):
+            return f"not sent: {reason}"
+        case Rejected(status, at_fault):
+            return f"rejected {status}" + (f" by {at_fault}" if at_fault else "")
+        case Broken(reason):
+            return f"broken: {reason}"
+        case Silent(waited_s):
+            return f"silent for {waited_s:.2f} s"
+        case Errored(status):
+            return f"status {status}"
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/entry/exchange.py
@@ -0,0 +1,167 @@
+"""Send one request to an upstream on a connection of its own.
+
+A fresh connection costs a round trip and rules out what kept ones bring: a late second
+answer, bytes behind an answer, a connection that went silent or was dropped while idle.
+"""
+
+import asyncio
+import functools
+import socket
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from yarl import URL
+
+from dandelionpond.forwarding.messages import Broken, Headers, NotSent
+
+# Time in seconds for a connection to open. Round trips take milliseconds; the rest
+# leaves time for a busy processor.
+CONNECT_TIMEOUT_S = 0.35
+# Seconds without data after which the kernel probes a connection, between probes, and
+# probes without an answer until it is reset. A machine without power answers none.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+# Milliseconds for which sent bytes may stay unacknowledged.
+USER_TIMEOUT_MS = 1_500
+READ_BYTES = 64 * 1024
+# Headers that the library would add to what the client sent.
+_NO_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+class ExchangeError(Exception):
+    """Carry the outcome of an exchange that failed."""
+
+    def __init__(self, outcome: NotSent | Broken) -> None:
+        super().__init__(outcome.reason)
+        self.outcome = outcome
+
+
+class _Handler(ResponseHandler):
+    """Remember whether a connection ended with an error."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.was_reset = False
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Record a reset: the library takes it for the end of an unframed body."""
+        self.was_reset = exc is not None
+        super().connection_lost(exc)
+
+
+class _Response(aiohttp.ClientResponse):
+    """Keep the connection's handler, which the library lets go at the end."""
+
+    handler: Any = None
+
+    async def start(self, connection: Any) -> aiohttp.ClientResponse:
+        """Read the head of the answer."""
+        self.handler = connection.protocol
+        return await super().start(connection)
+
+
+def _open_socket(info: Any) -> socket.socket:
+    family, kind, protocol = info[:3]
+    opened = socket.socket(family, kind, protocol)
+    opened.setblocking(False)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    return opened
+
+
+class Exchange:
+    """Hold one answer while it is read."""
+
+    __slots__ = ("_response", "headers", "status")
+
+    def __init__(self, response: _Response) -> None:
+        self._response = response
+        self.status = response.status
+        self.headers: Headers = response.raw_headers
+
+    async def read(self) -> bytes:
+        """Return the next bytes of the body, or nothing at its complete end.
+
+        Raises ExchangeError if the body breaks off.
+        """
+        try:
+            data = await self._response.content.readany()
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise ExchangeError(Broken(_reason(error))) from None
+        handler = self._response.handler
+        if not data and handler is not None and handler.was_reset:
+            raise ExchangeError(Broken("reset before the end"))
+        return data
+
+    async def read_all(self, max_bytes: int) -> bytes:
+        """Return the whole body; raise ExchangeError if it is too large or cut off."""
+        parts = []
+        size = 0
+        while data := await self.read():
+            size += len(data)
+            if size > max_bytes:
+                raise ExchangeError(Broken(f"the answer is over {max_bytes} bytes"))
+            parts.append(data)
+        return b"".join(parts)
+
+    def close(self) -> None:
+        """Close the connection, which makes the upstream drop an unfinished request."""
+        self._response.close()
+
+
+class Exchanger:
+    """Open exchanges; create it inside the running loop."""
+
+    def __init__(self) -> None:
+        connector = aiohttp.TCPConnector(
+            limit=0, force_close=True, socket_factory=_open_socket
+        )
+        loop = asyncio.get_running_loop()
+        # The library has no public way to see how a connection ended.
+        connector._factory = functools.partial(_Handler, loop)  # type: ignore[assignment]
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            response_class=_Response,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=_NO_AUTO_HEADERS,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            read_bufsize=READ_BYTES,
+        )
+
+    async def open(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> Exchange:
+        """Send a request and return its answer once the head is read.
+
+        Raises ExchangeError: NotSent if no connection could be opened, Broken after.
+        """
+        url = URL(f"http://{address}{target}", encoded=True)
+        try:
+            response = await self._session.request(
+                method, url, headers=headers, data=body or None, allow_redirects=False
+            )
+        except (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError) as error:
+            raise ExchangeError(NotSent(_reason(error))) from None
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise ExchangeError(Broken(_reason(error))) from None
+        assert isinstance(response, _Response)
+        return Exchange(response)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+
+def _reason(error: BaseException) -> str:
+    return f"{type(error).__name__}: {error}"[:200]
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/entry/fleet.py
@@ -0,0 +1,237 @@
+"""Hold what a node believes of routes, upstreams, peers and outstanding work."""
+
+import logging
+from random import Random
+
+import msgspec
+import xxhash
+
+from dandelionpond.clock import Clock
+from dandelionpond.entry.settings import EntrySettings
+from dandelionpond.forwarding.budget import RetryShare
+from dandelionpond.memory.settings import MemorySettings
+from dandelionpond.mesh.peers import PeerBook
+from dandelionpond.placement.choice import (
+    Engine,
+    Prompt,
+    PromptPlacement,
+    Worker,
+    place_call,
+    place_group,
+    place_prompt,
+)
+from dandelionpond.placement.health import (
+    DOMAIN_SILENCE_S,
+    Answered,
+    Failed,
+    HealthBook,
+)
+from dandelionpond.placement.jobs import JobBook
+from dandelionpond.published.keeper import SnapshotKeeper
+from dandelionpond.published.messages import (
+    EngineModel,
+    Route,
+    Snapshot,
+    UpstreamEntry,
+    UpstreamState,
+)
+
+log = logging.getLogger("dandelionpond.fleet")
+
+
+# Tokens from which a prompt may get the memory of several engines. Shorter ones find
+# room sooner than two reservations pay.
+GROUP_TOKENS = 60_000
+# Memory is reserved on at least two engines: one that has room needs no reservation.
+GROUP_MEMORY = MemorySettings(min_group_engines=2)
+
+
+class Candidates(msgspec.Struct, frozen=True):
+    """Hold the upstreams of a service that may take work, healthy ones first.
+
+    `avoided` failed lately or lie in a failure domain that is silent.
+    """
+
+    good: tuple[UpstreamEntry, ...]
+    avoided: tuple[UpstreamEntry, ...]
+
+    @property
+    def best(self) -> tuple[UpstreamEntry, ...]:
+        """Return the good ones, or the avoided ones if there are no others."""
+        return self.good or self.avoided
+
+
+class Fleet:
+    """Own the beliefs of one node."""
+
+    def __init__(self, settings: EntrySettings, clock: Clock, random: Random) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.random = random
+        self.keeper = SnapshotKeeper()
+        self.jobs = JobBook()
+        self.health = HealthBook()
+        self.peers = PeerBook(settings.mesh_address, settings.seeds, random)
+        self._budgets: dict[str, RetryShare] = {}
+        self._ordered: tuple[int, dict[str, list[UpstreamEntry]]] | None = None
+        self._silent: frozenset[str] = frozenset()
+
+    def now(self) -> float:
+        """Return the monotonic time in seconds."""
+        return self.clock.monotonic()
+
+    def take(self, snapshot: Snapshot, read_at: float, source: str) -> bool:
+        """Offer a snapshot and log what it changes."""
+        now = self.now()
+        before = self.keeper.version
+        known = {entry.instance: entry.state for entry in self.keeper.entries(now)}
+        changed = self.keeper.offer(snapshot, read_at, now)
+        if not changed:
+            return False
+        entries = self.keeper.entries(now)
+        self.health.retain(frozenset(entry.instance for entry in entries))
+        fresh = {entry.instance: entry.state for entry in entries}
+        log.info(
+            "published state changed",
+            extra={
+                "source": source,
+                "read_age_s": round(now - read_at, 3),
+                "store_revision": snapshot.store_revision,
+                "version": self.keeper.version,
+                "version_before": before,
+                "new": [name for name in fresh if name not in known][:20],
+                "gone": [name for name in known if name not in fresh][:20],
+                "leaving": [
+                    name
+                    for name, state in fresh.items()
+                    if state is UpstreamState.LEAVING
+                    and known.get(name) is not UpstreamState.LEAVING
+                ][:20],
+            },
+        )
+        return True
+
+    def service_of(self, route: Route) -> str:
+        """Choose the service of a request by the weights of its route."""
+        splits = route.splits
+        if len(splits) == 1:
+            return splits[0].service
+        weights = [split.weight for split in splits]
+        return self.random.choices(splits, weights)[0].service
+
+    def candidates(self, service: str, tried: frozenset[str]) -> Candidates:
+        """Return the upstreams of a service in the order that all nodes share."""
+        now = self.now()
+        good: list[UpstreamEntry] = []
+        avoided: list[UpstreamEntry] = []
+        for entry in self._in_order(now).get(service, ()):
+            if entry.state is not UpstreamState.READY or entry.instance in tried:
+                continue
+            is_bad = (
+                self.health.is_avoided(entry.instance, now)
+                or entry.failure_domain in self._silent
+            )
+            (avoided if is_bad else good).append(entry)
+        return Candidates(tuple(good), tuple(avoided))
+
+    def place_prompt(
+        self, prompt: Prompt, entries: tuple[UpstreamEntry, ...], model: EngineModel
+    ) -> PromptPlacement | None:
+        """Place a prompt on some of the engines given.
+
+        A prompt for which no engine has the memory gets it on several.
+        """
+        now = self.now()
+        domain = self.settings.failure_domain
+        engines = [
+            Engine(
+                entry.instance,
+                entry.address,
+                position,
+                self.jobs.load(entry.instance, now),
+                max(1.0, self.health.slowness(entry.instance)),
+                entry.failure_domain != domain,
+            )
+            for position, entry in enumerate(entries)
+        ]
+        placement = place_prompt(prompt, engines, model)
+        if placement is None and prompt.tokens > GROUP_TOKENS:
+            return place_group(prompt, engines, model, GROUP_MEMORY)
+        return placement
+
+    def place_call(
+        self, entries: tuple[UpstreamEntry, ...], may_repeat: bool
+    ) -> UpstreamEntry | None:
+        """Choose the worker of a plain call."""
+        now = self.now()
+        domain = self.settings.failure_domain
+        workers = [
+            Worker(
+                entry.instance,
+                entry.slots,
+                self.jobs.load(entry.instance, now).requests,
+                self.health.slowness(entry.instance),
+                self.health.failure_share(entry.instance),
+                entry.failure_domain != domain,
+            )
+            for entry in entries
+        ]
+        worker = place_call(workers, may_repeat, self.random)
+        if worker is None:
+            return None
+        return next(one for one in entries if one.instance == worker.instance)
+
+    def failed(self, instance: str) -> None:
+        """Learn that an upstream did not answer as it should."""
+        now = self.now()
+        was_avoided = self.health.is_avoided(instance, now)
+        self.health.hear(Failed(instance, now))
+        if not was_avoided:
+            log.info("upstream avoided", extra={"upstream": instance})
+
+    def answered(self, instance: str, took_s: float, expected_s: float) -> None:
+        """Learn how long an upstream took to answer."""
+        self.health.hear(Answered(instance, took_s, expected_s))
+
+    def budget(self, service: str) -> RetryShare:
+        """Return this node's share of a service's retry budget."""
+        share = self._budgets.get(service)
+        if share is None:
+            nodes = len(self.peers.live(self.now())) + 1
+            share = RetryShare(self.settings.budget, nodes, self.now())
+            self._budgets[service] = share
+        return share
+
+    def tick(self) -> None:
+        """Refresh what depends on the silence of peers."""
+        now = self.now()
+        self.jobs.expire(now)
+        nodes = len(self.peers.live(now)) + 1
+        for share in self._budgets.values():
+            share.set_nodes(nodes)
+        silent = self.peers.silent_domains(now, DOMAIN_SILENCE_S)
+        if silent != self._silent:
+            log.info(
+                "failure domains silent",
+                extra={"now": sorted(silent), "before": sorted(self._silent)},
+            )
+            self._silent = silent
+        table = self.keeper.table
+        if table is not None:
+            names = {service.name for service in table.document.services}
+            for name in self._budgets.keys() - names:
+                del self._budgets[name]
+
+    def _in_order(self, now: float) -> dict[str, list[UpstreamEntry]]:
+        entries = self.keeper.entries(now)
+        stamp = hash((self.keeper.digest, len(entries)))
+        if self._ordered is None or self._ordered[0] != stamp:
+            found: dict[str, list[UpstreamEntry]] = {}
+            for entry in sorted(entries, key=_position):
+                found.setdefault(entry.service, []).append(entry)
+            self._ordered = stamp, found
+        return self._ordered[1]
+
+
+def _position(entry: UpstreamEntry) -> int:
+    return xxhash.xxh64_intdigest(entry.instance.encode())
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/entry/incoming.py
@@ -0,0 +1,94 @@
+"""Hold one request and the way back to its client."""
+
+from typing import Any
+
+from dandelionpond.forwarding.messages import Headers, RequestHead
+from dandelionpond.published.messages import Account, Route
+
+
+class Incoming:
+    """Hold a request that was read whole; times are monotonic seconds.
+
+    `target` is path and query as the client sent them.
+    """
+
+    __slots__ = (
+        "account",
+        "arrived_at",
+        "body",
+        "deadline_at",
+        "head",
+        "headers",
+        "method",
+        "route",
+        "service",
+        "target",
+    )
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        head: RequestHead,
+        route: Route,
+        service: str,
+        account: Account | None,
+        arrived_at: float,
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.head = head
+        self.route = route
+        self.service = service
+        self.account = account
+        self.arrived_at = arrived_at
+        timeout = route.timeout_s
+        if head.timeout_s is not None:
+            timeout = min(timeout, head.timeout_s)
+        self.deadline_at = arrived_at + timeout
+
+
+class Reply:
+    """Send one answer to a client over ASGI."""
+
+    __slots__ = ("_is_leaving", "_send", "has_begun", "is_complete", "status")
+
+    def __init__(self, send: Any, is_leaving: Any) -> None:
+        self._send = send
+        self._is_leaving = is_leaving
+        self.has_begun = False
+        self.is_complete = False
+        self.status = 0
+
+    async def begin(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Send status and headers; a leaving node asks for a new connection."""
+        if self._is_leaving():
+            headers = [*headers, (b"connection", b"close")]
+        self.has_begun = True
+        self.status = status
+        await self._send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+
+    async def part(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
+
+    async def end(self, data: bytes = b"") -> None:
+        """Send the last part of the body."""
+        self.is_complete = True
+        await self._send({"type": "http.response.body", "body": data})
+
+    async def whole(
+        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        length = str(len(body)).encode()
+        await self.begin(status, [*headers, (b"content-length", length)])
+        await self.end(body)
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/entry/process.py
@@ -0,0 +1,216 @@
+"""Assemble the process that serves published routes, and run it."""
+
+import asyncio
+import gc
+import logging
+import secrets
+import signal
+import sys
+from random import Random
+from typing import Any
+
+from prometheus_client import generate_latest
+
+from dandelionpond.clock import Clock, SystemClock
+from dandelionpond.entry.app import EntryApp
+from dandelionpond.entry.attempts import Forwarder
+from dandelionpond.entry.exchange import Exchanger
+from dandelionpond.entry.fleet import Fleet
+from dandelionpond.entry.groups import EngineOrders, Groups
+from dandelionpond.entry.lines import LineWriter
+from dandelionpond.entry.mesh import Mesh
+from dandelionpond.entry.settings import EntrySettings
+from dandelionpond.entry.sync import Store, Sync
+from dandelionpond.forwarding.messages import Dialect
+from dandelionpond.http.server import HttpListener, bind
+from dandelionpond.identity import Identity
+from dandelionpond.logs import configure_logs
+from dandelionpond.metrics import Metrics
+from dandelionpond.peer.settings import PeerSettings
+from dandelionpond.peer.snapshots import SnapshotServer
+from dandelionpond.requests.pauses import Pauses
+from dandelionpond.runtime.tasks import Tasks
+from dandelionpond.shutdown.drain import Drain
+from dandelionpond.shutdown.messages import (
+    Announce,
+    HandOver,
+    Interrupt,
+    Load,
+    Stop,
+    StopAdmission,
+    Terminate,
+    Tick,
+)
+
+log = logging.getLogger("dandelionpond.process")
+
+# Interval in seconds of the checks for pauses, silent peers and the phases of a stop.
+PAUSE_TICK_S = 0.25
+STOP_TICK_S = 0.1
+GC_THRESHOLDS = (5_000, 20, 100)
+
+
+class EntryProcess:
+    """Own the parts of one process."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        dialect: Dialect,
+        store: Store,
+        orders: EngineOrders,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._store = store
+        self._orders = orders
+        self._tasks = Tasks()
+        self._pauses = Pauses(clock.monotonic())
+        self._fleet = Fleet(settings, clock, Random(secrets.randbits(64)))
+        self._sync = Sync(self._fleet, store, self._tasks)
+        self._mesh = Mesh(self._fleet, self._sync.heard)
+        self._sync.on_change = self._mesh.tell_now
+        self._snapshots = SnapshotServer(
+            settings.fetch_address, self._sync.held, PeerSettings()
+        )
+        self._exchanger = Exchanger()
+        self._forwarder = Forwarder(self._fleet, self._exchanger, dialect)
+        self._groups = Groups(self._fleet, orders, self._tasks)
+        self._app = EntryApp(
+            self._forwarder, self._groups, self._arrived_at, self._is_leaving
+        )
+        self._fleet.jobs.on_change = self._mesh.tell_news
+        self._drain = Drain(settings.shutdown)
+        self._metrics = Metrics()
+        self._add_metrics()
+        self._listener: HttpListener | None = None
+        self._exit = asyncio.get_running_loop().create_future()
+
+    async def start(self) -> None:
+        """Open the listeners; raise OSError if an address cannot be bound."""
+        settings = self._settings
+        await self._mesh.start()
+        self._sync.start()
+        self._groups.start()
+        front = bind(settings.front_address)
+        ready = bind(settings.ready_address)
+        metrics = bind(settings.metrics_address)
+        self._listener = HttpListener(self._route, front, more=(ready, metrics))
+        await self._listener.start()
+        await self._snapshots.start()
+        self._tasks.every(lambda: PAUSE_TICK_S, self._tick, "tick")
+        self._tasks.every(lambda: self._fleet.peers.interval_s, self._beat, "beat")
+        log.info("started", extra={"front": settings.front_address})
+
+    def terminate(self) -> None:
+        """Start a planned stop; a repeated signal changes nothing."""
+        if self._drain.is_ready:
+            self._perform(Terminate())
+            self._tasks.every(lambda: STOP_TICK_S, self._stop_tick, "stop")
+
+    def reload(self) -> None:
+        """Say that the settings file is read at the next start only."""
+        log.info("settings file changed; addresses stay until the next start")
+
+    async def wait(self) -> int:
+        """Return the exit code after a planned stop."""
+        code: int = await self._exit
+        assert self._listener is not None
+        await self._snapshots.stop()
+        await self._tasks.cancel()
+        self._mesh.close()
+        await self._exchanger.close()
+        await self._store.close()
+        await self._orders.close()
+        return code
+
+    async def _route(self, scope: Any, receive: Any, send: Any) -> None:
+        """Tell the listeners apart by the local port of the connection."""
+        port = scope["server"][1]
+        if port == _port(self._settings.ready_address):
+            await _plain(send, 200 if self._is_ready() else 503, b"")
+        elif port == _port(self._settings.metrics_address):
+            await _plain(send, 200, generate_latest(self._metrics.registry))
+        else:
+            await self._app(scope, receive, send)
+
+    def _is_ready(self) -> bool:
+        return self._drain.is_ready and self._fleet.keeper.is_complete
+
+    def _is_leaving(self) -> bool:
+        return not self._drain.is_ready
+
+    def _arrived_at(self) -> float:
+        return self._pauses.arrived_at(self._clock.monotonic())
+
+    async def _tick(self) -> None:
+        self._pauses.tick(self._clock.monotonic())
+        self._fleet.tick()
+
+    async def _beat(self) -> None:
+        self._mesh.tick()
+
+    async def _stop_tick(self) -> None:
+        load = Load(streams=self._app.in_flight, pending_releases=self._groups.pending)
+        self._perform(Tick(load))
+
+    def _perform(self, event: Terminate | Tick) -> None:
+        for action in self._drain.decide(event, self._clock.monotonic()):
+            match action:
+                case Announce():
+                    log.info("leaving announced")
+                    self._mesh.is_leaving = True
+                    self._mesh.tell_now()
+                case StopAdmission():
+                    log.info("draining", extra={"in_flight": self._app.in_flight})
+                    assert self._listener is not None
+                    self._tasks.spawn(self._listener.stop(), "stop-listener")
+                case Interrupt(requests):
+                    log.warning("requests interrupted", extra={"requests": requests})
+                    self._app.cancel_all()
+                case HandOver(releases):
+                    log.warning("releases left", extra={"releases": releases})
+                case Stop(exit_code):
+                    log.info("stopped", extra={"exit_code": exit_code})
+                    if not self._exit.done():
+                        self._exit.set_result(exit_code)
+
+    def _add_metrics(self) -> None:
+        slices, fleet = self._metrics.slices, self._fleet
+        slices.add_counters("requests", lambda: self._forwarder.counters)
+        slices.add_counters("sync", lambda: self._sync.counters)
+        slices.add_counters("groups", lambda: self._groups.counters)
+        slices.add_counters("peers", lambda: fleet.peers.counters)
+        slices.add_size("requests", lambda: self._app.in_flight)
+        slices.add_size("peers", lambda: len(fleet.peers.live(fleet.now())))
+
+
+async def _plain(send: Any, status: int, body: bytes) -> None:
+    headers = [(b"content-length", str(len(body)).encode())]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
+
+
+def _port(address: str) -> int:
+    return int(address.rpartition(":")[2])
+
+
+async def serve(
+    settings: EntrySettings, dialect: Dialect, store: Store, orders: EngineOrders
+) -> int:
+    """Run the process until it has drained and return its exit code.
+
+    Raises OSError if an address cannot be bound.
+    """
+    gc.set_threshold(*GC_THRESHOLDS)
+    identity = Identity(settings.name, 0, secrets.randbits(64))
+    configure_logs(identity, "INFO", LineWriter(sys.stdout.fileno()))
+    logging.getLogger("uvicorn.error").setLevel(logging.WARNING)
+    process = EntryProcess(settings, dialect, store, orders, SystemClock())
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, process.terminate)
+    loop.add_signal_handler(signal.SIGINT, process.terminate)
+    loop.add_signal_handler(signal.SIGHUP, process.reload)
+    await process.start()
+    return await process.wait()
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/entry/prompts.py
@@ -0,0 +1,300 @@
+"""Forward prompts to engines and relay their streams."""
+
+import asyncio
+
+from dandelionpond.entry.attempts import Attempt, Forwarder, Trace, describe
+from dandelionpond.entry.exchange import Exchange, ExchangeError
+from dandelionpond.entry.groups import Groups
+from dandelionpond.entry.incoming import Incoming, Reply
+from dandelionpond.errors import ErrorKind
+from dandelionpond.forwarding.events import EventSplitter, StreamError
+from dandelionpond.forwarding.messages import (
+    AnswerHead,
+    Broken,
+    Helper,
+    NotSent,
+    Outcome,
+    Silent,
+)
+from dandelionpond.forwarding.policy import Progress
+from dandelionpond.placement.choice import Prompt, PromptPlacement
+from dandelionpond.placement.jobs import Job, Phase
+from dandelionpond.published.messages import EngineModel, UpstreamEntry
+
+# A stream that pauses longer than this many times its target, and longer than the
+# minimum in seconds, goes on at another engine. Clients give up after eight times the
+# target and not before two seconds.
+STALL_FACTOR = 2.0
+MIN_STALL_S = 0.9
+# Time in seconds and factor by which a first event may be later than predicted.
+FIRST_EVENT_SLACK_S = 0.9
+FIRST_EVENT_FACTOR = 2.0
+# Interval in seconds between two looks for a free engine, and part of the remaining
+# time of a request that it waits for one.
+LOOK_S = 0.02
+WAIT_SHARE = 0.12
+
+
+class _Run:
+    """Hold the state of one prompt over its attempts."""
+
+    __slots__ = (
+        "call",
+        "first_event_s",
+        "longest_pause_s",
+        "model",
+        "progress",
+        "reply",
+        "splitter",
+        "trace",
+    )
+
+    def __init__(self, call: Incoming, reply: Reply, model: EngineModel) -> None:
+        self.call = call
+        self.reply = reply
+        self.model = model
+        route = call.route
+        self.progress = Progress(route.may_repeat, route.max_attempts)
+        self.splitter = EventSplitter(call.head.last_event)
+        self.trace = Trace()
+        # Seconds from the last sending to its first event, and between two events.
+        self.first_event_s = 0.0
+        self.longest_pause_s = 0.0
+
+
+class PromptForwarder:
+    """Forward prompts; a stream that breaks off goes on where it may be resumed."""
+
+    def __init__(self, forwarder: Forwarder, groups: Groups) -> None:
+        self._forwarder = forwarder
+        self._groups = groups
+
+    async def run(self, call: Incoming, reply: Reply, model: EngineModel) -> None:
+        """Answer one prompt."""
+        forwarder = self._forwarder
+        run = _Run(call, reply, model)
+        tried: set[str] = set()
+        why = "gone"
+        try:
+            while True:
+                chosen = await self._place(run, frozenset(tried))
+                if chosen is None:
+                    why = "no engine is free"
+                    await self._give_up(run)
+                    return
+                placement, entries = chosen
+                main = entries[placement.main]
+                tried.add(main.instance)
+                attempt = await self._attempt(run, placement, entries)
+                why = describe(attempt.outcome)
+                if attempt.outcome is None:
+                    return
+                forwarder.learn(main, attempt.outcome)
+                if not await forwarder.settle(call, run.progress, attempt, reply):
+                    return
+                run.splitter.restart()
+        finally:
+            forwarder.fleet.jobs.end(call.head.request_id)
+            forwarder.log_end(call, reply, run.trace, why)
+
+    async def _give_up(self, run: _Run) -> None:
+        if run.progress.has_begun:
+            self._forwarder.count("broken_off")
+            return
+        kind = ErrorKind.OVERLOADED
+        if run.progress.may_have_run:
+            kind = ErrorKind.UPSTREAM_FAILED
+        await self._forwarder.refuse(run.call, run.reply, kind)
+
+    async def _place(
+        self, run: _Run, tried: frozenset[str]
+    ) -> tuple[PromptPlacement, dict[str, UpstreamEntry]] | None:
+        """Wait a short while for a free engine and return the placement."""
+        fleet, call = self._forwarder.fleet, run.call
+        began = fleet.now()
+        patience = (call.deadline_at - began) * WAIT_SHARE
+        while True:
+            now = fleet.now()
+            found = fleet.candidates(call.service, tried)
+            prompt = Prompt(
+                call.head.prompt_tokens,
+                call.head.answer_tokens,
+                call.route.target_s - (now - call.arrived_at),
+                call.route.gap_target_s,
+            )
+            for entries in (found.good, found.avoided):
+                placement = fleet.place_prompt(prompt, entries, run.model)
+                if placement is not None:
+                    return placement, {entry.instance: entry for entry in entries}
+            if now - began >= patience:
+                return None
+            await asyncio.sleep(LOOK_S)
+
+    async def _attempt(
+        self, run: _Run, placement: PromptPlacement, entries: dict[str, UpstreamEntry]
+    ) -> Attempt:
+        fleet, call = self._forwarder.fleet, run.call
+        began = fleet.now()
+        fleet.jobs.start(call.head.request_id, _jobs(run, placement), began)
+        run.trace.predicted_s = placement.first_event_s
+        if placement.reserved:
+            attempt = await self._exchange_in_group(run, placement, entries)
+        else:
+            attempt = await self._exchange(run, placement, entries, None)
+        run.trace.attempts.append(
+            {
+                "upstream": placement.main,
+                "helpers": list(placement.helpers),
+                "predicted_s": round(placement.first_event_s, 3),
+                "cost": round(placement.cost, 3),
+                "took_s": round(fleet.now() - began, 3),
+                "first_event_s": round(run.first_event_s, 3),
+                "longest_pause_s": round(run.longest_pause_s, 3),
+                "events": run.splitter.passed,
+                "outcome": describe(attempt.outcome),
+            }
+        )
+        return attempt
+
+    async def _exchange_in_group(
+        self, run: _Run, placement: PromptPlacement, entries: dict[str, UpstreamEntry]
+    ) -> Attempt:
+        """Reserve memory, send the prompt, and give the memory back in any case."""
+        # Two runs of one request never share a reservation.
+        sent = run.progress.sent + run.progress.unsent
+        group = f"{run.call.head.request_id}-{sent}"
+        try:
+            if not await self._groups.reserve(group, placement.reserved, entries):
+                return Attempt(NotSent("memory could not be reserved"))
+            return await self._exchange(run, placement, entries, group)
+        finally:
+            self._groups.finish(group)
+
+    async def _exchange(
+        self,
+        run: _Run,
+        placement: PromptPlacement,
+        entries: dict[str, UpstreamEntry],
+        group: str | None,
+    ) -> Attempt:
+        forwarder, call = self._forwarder, run.call
+        began = forwarder.fleet.now()
+        remaining = call.deadline_at - began
+        limit = placement.first_event_s * FIRST_EVENT_FACTOR + FIRST_EVENT_SLACK_S
+        main = entries[placement.main]
+        helpers = self._helpers(placement, entries, group)
+        opened = await forwarder.open(
+            call, main, min(limit, remaining), run.splitter.last_id, helpers
+        )
+        if not isinstance(opened, Exchange):
+            return Attempt(opened)
+        try:
+            head = forwarder.judge(call, opened)
+            if not isinstance(head, AnswerHead):
+                return Attempt(head)
+            if head.status >= 400:
+                return await forwarder.failure(call, opened, head)
+            outcome = await self._relay(run, placement, opened, began, limit)
+            return Attempt(outcome)
+        finally:
+            opened.close()
+
+    def _helpers(
+        self,
+        placement: PromptPlacement,
+        entries: dict[str, UpstreamEntry],
+        group: str | None,
+    ) -> tuple[Helper, ...]:
+        if group is None:
+            return tuple(Helper(entries[name].address) for name in placement.helpers)
+        reserved = {part.engine for part in placement.reserved}
+        # Reserved memory of the main engine goes first in the list.
+        return tuple(
+            Helper(
+                entries[name].address,
+                self._groups.holding(group, name) if name in reserved else None,
+            )
+            for name in (placement.main, *placement.helpers)
+        )
+
+    async def _relay(
+        self,
+        run: _Run,
+        placement: PromptPlacement,
+        exchange: Exchange,
+        sent_at: float,
+        first_event_limit_s: float,
+    ) -> Outcome | None:
+        """Pass events on until the end; return the outcome if it broke off."""
+        fleet, call, reply = self._forwarder.fleet, run.call, run.reply
+        stall = max(MIN_STALL_S, STALL_FACTOR * call.route.gap_target_s)
+        is_writing = False
+        while True:
+            now = fleet.now()
+            limit = stall if is_writing else sent_at + first_event_limit_s - now
+            limit = min(limit, call.deadline_at - now)
+            try:
+                async with asyncio.timeout(max(0.001, limit)):
+                    data = await exchange.read()
+                events = run.splitter.read(data) if data else b""
+            except TimeoutError:
+                return Silent(fleet.now() - now)
+            except ExchangeError as error:
+                return error.outcome
+            except StreamError as error:
+                return Broken(str(error))
+            if not data:
+                break
+            waited = fleet.now() - now
+            if is_writing:
+                run.longest_pause_s = max(run.longest_pause_s, waited)
+            else:
+                is_writing = True
+                run.first_event_s = fleet.now() - sent_at
+                fleet.jobs.write(call.head.request_id)
+                if not placement.helpers:
+                    took = run.first_event_s
+                    fleet.answered(placement.main, took, placement.first_event_s)
+            if events:
+                await self._begin(run, exchange)
+                await reply.part(events)
+        if run.splitter.is_partial:
+            return Broken("ended inside an event")
+        await self._begin(run, exchange)
+        await reply.end()
+        return None
+
+    async def _begin(self, run: _Run, exchange: Exchange) -> None:
+        """Send the head of the first run; later runs go on below it."""
+        if run.reply.has_begun:
+            return
+        run.progress.has_begun = True
+        headers = self._forwarder.dialect.passed_on(exchange.headers, is_stream=True)
+        await run.reply.begin(exchange.status, headers)
+
+
+def _jobs(run: _Run, placement: PromptPlacement) -> list[Job]:
+    head, gap = run.call.head, run.call.route.gap_target_s
+    value = Prompt(head.prompt_tokens, 0, 0.0, gap).value
+    part = placement.part_read_s
+    reserved = {part.engine: part.tokens for part in placement.reserved}
+    memory = head.prompt_tokens + head.answer_tokens
+    context = head.prompt_tokens
+    if reserved:
+        context = context // len(reserved)
+    jobs = [
+        Job(
+            placement.main,
+            Phase.READING,
+            0.0,
+            part,
+            context,
+            reserved.get(placement.main, memory),
+            gap,
+            value,
+        )
+    ]
+    for name in placement.helpers:
+        held = reserved.get(name, 0)
+        jobs.append(Job(name, Phase.HELPING, 0.0, part, context if held else 0, held))
+    return jobs
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/entry/sync.py
@@ -0,0 +1,148 @@
+"""Keep the published state fresh, from the platform or from peers."""
+
+import logging
+from typing import Protocol
+
+from expression import Result
+
+from dandelionpond.entry.fleet import Fleet
+from dandelionpond.errors import Failure
+from dandelionpond.mesh.messages import Beat
+from dandelionpond.peer.settings import PeerSettings
+from dandelionpond.peer.snapshots import fetch_snapshot
+from dandelionpond.published.messages import Snapshot
+from dandelionpond.published.readers import Candidate, ReadPace, reader_of
+from dandelionpond.runtime.tasks import Tasks
+
+log = logging.getLogger("dandelionpond.sync")
+
+# Interval in seconds in which a node looks whether a read is due.
+LOOK_S = 0.1
+
+
+class Store(Protocol):
+    """Read the platform's service; implemented by an adapter."""
+
+    async def read(self, known_version: int) -> Result[Snapshot, Failure]:
+        """Return the entries, and the document if it is newer than `known_version`."""
+        ...
+
+    async def close(self) -> None:
+        """Close the connections."""
+        ...
+
+
+class Sync:
+    """Own the reads of one node."""
+
+    def __init__(self, fleet: Fleet, store: Store, tasks: Tasks) -> None:
+        self._fleet = fleet
+        self._store = store
+        self._tasks = tasks
+        self._pace = ReadPace()
+        self._is_reading = False
+        self._is_fetching = False
+        self._has_store: bool | None = None
+        self._was_reader = False
+        self.on_change = self._ignore
+        self.counters = {
+            "reads": 0,
+            "failed_reads": 0,
+            "fetches": 0,
+            "failed_fetches": 0,
+        }
+
+    def start(self) -> None:
+        """Read at once and then as the pace says."""
+        self._tasks.every(lambda: LOOK_S, self._look, "platform-reads")
+
+    def heard(self, beat: Beat) -> None:
+        """Learn from a beat whether its sender knows something newer."""
+        fleet, keeper = self._fleet, self._fleet.keeper
+        if beat.list_age_s < 0 or not beat.fetch_address:
+            return
+        read_at = fleet.now() - beat.list_age_s
+        is_newer = beat.list_revision > keeper.revision or beat.version > keeper.version
+        if beat.list_revision >= keeper.revision and keeper.confirm(
+            beat.list_revision, beat.digest, read_at
+        ):
+            return
+        if is_newer and not self._is_fetching:
+            self._is_fetching = True
+            self._tasks.spawn(self._fetch(beat), "fetch-snapshot")
+
+    def held(self) -> tuple[Snapshot, float]:
+        """Return the snapshot in force and its age, for a peer."""
+        age = self._fleet.keeper.age_s(self._fleet.now())
+        return self._fleet.keeper.snapshot(), 1e9 if age is None else age
+
+    async def _look(self) -> None:
+        fleet = self._fleet
+        now = fleet.now()
+        is_reader = self._is_reader(now)
+        if is_reader != self._was_reader:
+            log.info("reader role changed", extra={"is_reader": is_reader})
+            self._was_reader = is_reader
+        age = fleet.keeper.age_s(now)
+        if self._is_reading or not self._pace.is_due(now, is_reader, age):
+            return
+        self._is_reading = True
+        self._pace.begun(now)
+        self._tasks.spawn(self._read(now), "read-platform")
+
+    def _is_reader(self, now: float) -> bool:
+        settings = self._fleet.settings
+        nodes = [Candidate(settings.name, settings.failure_domain)]
+        for peer in self._fleet.peers.live(now):
+            if peer.beat is not None and not peer.beat.is_leaving:
+                nodes.append(Candidate(peer.beat.node, peer.beat.failure_domain))
+        return reader_of(settings.failure_domain, nodes) == settings.name
+
+    async def _read(self, begun_at: float) -> None:
+        fleet = self._fleet
+        try:
+            found = await self._store.read(fleet.keeper.version)
+        finally:
+            self._is_reading = False
+        self.counters["reads"] += 1
+        self._pace.ended(fleet.now(), found.is_ok())
+        self._note(found)
+        # The list is as old as the beginning of its read.
+        if found.is_ok() and fleet.take(found.ok, begun_at, "platform"):
+            self.on_change()
+
+    def _note(self, found: Result[Snapshot, Failure]) -> None:
+        has_store = found.is_ok()
+        if not has_store:
+            self.counters["failed_reads"] += 1
+        if has_store != self._has_store:
+            self._has_store = has_store
+            if has_store:
+                log.info("platform reached")
+            else:
+                log.warning("platform lost", extra={"why": found.error.message})
+
+    async def _fetch(self, beat: Beat) -> None:
+        self.counters["fetches"] += 1
+        fleet = self._fleet
+        begun_at = fleet.now()
+        try:
+            reply = await fetch_snapshot(
+                beat.fetch_address, fleet.settings.name, PeerSettings()
+            )
+        finally:
+            self._is_fetching = False
+        match reply:
+            case Result(tag="ok", ok=(snapshot, age_s)):
+                if fleet.take(snapshot, begun_at - age_s, f"peer {beat.node}"):
+                    self.on_change()
+            case Result(error=failure):
+                self.counters["failed_fetches"] += 1
+                log.warning(
+                    "fetch from peer failed",
+                    extra={"peer": beat.node, "why": failure.message},
+                )
+
+    @staticmethod
+    def _ignore() -> None:
+        """Stand in until the mesh is there."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Decide what follows each outcome of an attempt to forward a request."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/forwarding/messages.py
@@ -0,0 +1,125 @@
+"""Define requests, answers and outcomes of attempts on published routes."""
+
+from typing import Protocol
+
+import msgspec
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class RequestHead(msgspec.Struct, frozen=True):
+    """Hold what the headers of a request say.
+
+    `timeout_s` is how long the client waits. `prompt_tokens` and `answer_tokens` are
+    zero on routes without prompts; the latter is the most that may be generated.
+    `last_event` is the event after which a stream goes on.
+    """
+
+    request_id: str
+    timeout_s: float | None
+    key: str | None
+    prompt_tokens: int
+    answer_tokens: int
+    last_event: int | None
+
+
+class Helper(msgspec.Struct, frozen=True):
+    """Name an engine that helps to read, and memory that is reserved there."""
+
+    address: str
+    holding: str | None = None
+
+
+class AttemptHead(msgspec.Struct, frozen=True):
+    """Hold what this node tells an upstream with a request.
+
+    `instance` is the upstream that is meant: any other one that has its address by now
+    refuses.
+    """
+
+    remaining_s: float
+    instance: str
+    account: str | None
+    last_event: int | None = None
+    helpers: tuple[Helper, ...] = ()
+    priority: int | None = None
+
+
+class AnswerHead(msgspec.Struct, frozen=True):
+    """Hold what the headers of an upstream's answer say.
+
+    `is_stamped` is whether the upstream vouches for the answer. `is_not_run` is its
+    statement that it did not run the request and never will. `at_fault` is the address
+    of the upstream that made it refuse. `is_encoded` marks a body that is not plain.
+    """
+
+    status: int
+    request_id: str | None
+    is_stamped: bool
+    is_not_run: bool
+    is_encoded: bool
+    is_leaving: bool
+    at_fault: str | None
+
+
+class Dialect(Protocol):
+    """Translate headers of callers and upstreams; implemented by an adapter."""
+
+    def request(self, headers: Headers) -> RequestHead:
+        """Return what the headers of a request say."""
+        ...
+
+    def attempt(self, headers: Headers, head: AttemptHead) -> list[tuple[str, str]]:
+        """Return the headers of an attempt: the client's, and this node's own."""
+        ...
+
+    def answer(self, status: int, headers: Headers) -> AnswerHead:
+        """Return what the headers of an answer say."""
+        ...
+
+    def passed_on(self, headers: Headers, is_stream: bool) -> list[tuple[bytes, bytes]]:
+        """Return the headers of an answer that the client receives."""
+        ...
+
+    def refusal(
+        self, request_id: str, retry_after_s: float | None
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers of an answer of this node's own."""
+        ...
+
+
+# Outcomes of one attempt.
+
+
+class NotSent(msgspec.Struct, frozen=True, tag=True):
+    """No byte of the request was written: the connection could not be opened."""
+
+    reason: str
+
+
+class Rejected(msgspec.Struct, frozen=True, tag=True):
+    """The upstream states that it did not run the request."""
+
+    status: int
+    at_fault: str | None = None
+
+
+class Broken(msgspec.Struct, frozen=True, tag=True):
+    """The answer is missing, cut off or invalid; the request may have run."""
+
+    reason: str
+
+
+class Silent(msgspec.Struct, frozen=True, tag=True):
+    """Nothing came for longer than the upstream should need."""
+
+    waited_s: float
+
+
+class Errored(msgspec.Struct, frozen=True, tag=True):
+    """The upstream answered completely with a failure of its own."""
+
+    status: int
+
+
+Outcome = NotSent | Rejected | Broken | Silent | Errored
--- a/packages/dandelionpond/src/dandelionpond/http/server.py
+++ b/packages/dandelionpond/src/dandelionpond/http/server.py
@@ -4,7 +4,7 @@
 import contextlib
 import secrets
 import socket
-from collections.abc import Generator
+from collections.abc import Generator, Sequence
 
 import uvicorn
 from starlette.types import ASGIApp
@@ -124,10 +124,14 @@
 
 
 class HttpListener:
-    """Serve one ASGI application on one bound socket."""
+    """Serve one ASGI application on one or more bound sockets."""
 
     def __init__(
-        self, app: ASGIApp, listener: socket.socket, tls: TlsFiles | None = None
+        self,
+        app: ASGIApp,
+        listener: socket.socket,
+        tls: TlsFiles | None = None,
+        more: Sequence[socket.socket] = (),
     ) -> None:
         # The standard loop, by name: uvloop, which the automatic choice would take if
         # it were installed, uses io_uring.
@@ -137,6 +141,7 @@
             http=BoundedProtocol,
             ws="none",
             lifespan="off",
+            interface="asgi3",
             log_config=None,
             access_log=False,
             proxy_headers=False,
@@ -149,6 +154,7 @@
         self._config = config
         self._server = _Server(config)
         self._socket = listener
+        self._sockets = [listener, *more]
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -163,7 +169,7 @@
 
     async def start(self) -> None:
         """Accept connections; returns once the listener is open."""
-        self._task = asyncio.create_task(self._server.serve([self._socket]))
+        self._task = asyncio.create_task(self._server.serve(self._sockets))
         while not self._server.started:
             if self._task.done():
                 self._task.result()
--- a/packages/dandelionpond/src/dandelionpond/logs.py
+++ b/packages/dandelionpond/src/dandelionpond/logs.py
@@ -2,7 +2,7 @@
 
 import logging
 import sys
-from typing import TextIO
+from typing import Protocol
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -11,6 +11,18 @@
 LOGGER_NAME = "dandelionpond"
 
 
+class LineStream(Protocol):
+    """Take log lines."""
+
+    def write(self, text: str, /) -> int:
+        """Take one line with its end."""
+        ...
+
+    def flush(self) -> None:
+        """Pass on what was taken."""
+        ...
+
+
 class NodeContext(logging.Filter):
     """Add the node, its incarnation and the settings digest to each line."""
 
@@ -28,7 +40,7 @@
 
 
 def configure_logs(
-    identity: Identity, level: str, stream: TextIO | None = None
+    identity: Identity, level: str, stream: LineStream | None = None
 ) -> NodeContext:
     """Send the project's log lines to a stream, by default standard error.
 
@@ -36,7 +48,9 @@
     state, and may hold request data.
     """
     context = NodeContext(identity)
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler: logging.StreamHandler[LineStream] = logging.StreamHandler(
+        stream or sys.stderr
+    )
     handler.addFilter(context)
     handler.setFormatter(
         JsonFormatter(
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange datagrams between nodes: who lives, who has what outstanding."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Place requests on upstreams by a cost model and shared outstanding work."""
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/placement/choice.py
@@ -0,0 +1,310 @@
+"""Choose the engines that read a prompt, and the upstream of a plain call.
+
+Costs are in the unit of `value`: what a late answer to a prompt loses. Each engine is
+judged by the time to the first event that it would give, and by the pauses that reading
+there causes for answers that are being written. Prompts with little to read fill the
+engines from one end of a fixed order and long ones from the other, so that answers
+being written and long reads meet as seldom as demand permits.
+"""
+
+from collections.abc import Sequence
+from random import Random
+
+import msgspec
+
+from dandelionpond.memory.groups import split
+from dandelionpond.memory.messages import Part
+from dandelionpond.memory.settings import MemorySettings
+from dandelionpond.placement.engine_time import read_s, stride_s
+from dandelionpond.placement.jobs import Load
+from dandelionpond.published.messages import EngineModel
+
+# Share of a target at which the risk of missing it begins, and at which it is certain.
+RISK_FROM = 0.55
+RISK_TO = 1.1
+# Parts into which a prompt may be split; the platform permits 16 helpers.
+PART_COUNTS = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
+# Cost of one helper: a further engine whose failure delays the prompt.
+HELPER_COST = 0.03
+# Reading time in seconds from which a prompt counts as long.
+LONG_READ_S = 0.12
+# Tokens whose prompt is worth twice a very short one.
+VALUE_TOKENS = 8_000.0
+# Share of an engine's memory that placement fills; estimates of answers are rough.
+MEMORY_SHARE = 0.97
+# Part of a prompt's value that taking the last free slot of an engine costs, and the
+# last but one, and so on: other nodes may send there before they hear of it.
+SLOT_RISK = (0.3, 0.08, 0.02)
+# Factor on the cost for an engine in another failure domain, as added seconds.
+REMOTE_S = 0.002
+
+
+class Prompt(msgspec.Struct, frozen=True):
+    """State what a prompt needs; times are in seconds.
+
+    `target_s` is what is left of the target for the first event.
+    """
+
+    tokens: int
+    answer_tokens: int
+    target_s: float
+    gap_target_s: float
+
+    @property
+    def value(self) -> float:
+        """Return the weight of the prompt against others."""
+        return 1.0 + self.tokens / VALUE_TOKENS
+
+    @property
+    def memory_tokens(self) -> int:
+        """Return the most memory that prompt and answer take."""
+        return self.tokens + self.answer_tokens
+
+
+class Engine(msgspec.Struct, frozen=True):
+    """Describe a candidate; `position` is its place in the order all nodes share."""
+
+    instance: str
+    address: str
+    position: int
+    load: Load
+    slowness: float = 1.0
+    is_remote: bool = False
+
+
+class PromptPlacement(msgspec.Struct, frozen=True):
+    """Name the engine that writes and those that help to read.
+
+    `reserved` is memory that must be reserved first, on the main engine and on some of
+    the helpers; without it the main engine holds the whole prompt.
+    """
+
+    main: str
+    helpers: tuple[str, ...]
+    first_event_s: float
+    part_read_s: float
+    cost: float
+    reserved: tuple[Part, ...] = ()
+
+
+class _Judged:
+    __slots__ = ("engine", "finish_s", "harm")
+
+    def __init__(self, engine: Engine, finish_s: float, harm: float) -> None:
+        self.engine = engine
+        self.finish_s = finish_s
+        self.harm = harm
+
+
+def risk(expected_s: float, target_s: float) -> float:
+    """Return how likely an expected time misses its target, from 0 to 1."""
+    if target_s <= 0:
+        return 1.0
+    share = expected_s / target_s
+    return min(1.0, max(0.0, (share - RISK_FROM) / (RISK_TO - RISK_FROM)))
+
+
+def place_prompt(
+    prompt: Prompt, engines: Sequence[Engine], model: EngineModel
+) -> PromptPlacement | None:
+    """Return the cheapest placement, or None if no engine has a slot and memory."""
+    whole_s = read_s(model, prompt.tokens)
+    is_long = whole_s > LONG_READ_S
+    best: PromptPlacement | None = None
+    for parts in PART_COUNTS:
+        if parts > len(engines) or (parts > 1 and not is_long):
+            break
+        judged = _rank(prompt, engines, model, whole_s, parts)
+        chosen = _choose(prompt, judged, model, parts)
+        if chosen is None:
+            continue
+        placement = _placement(prompt, chosen, whole_s / parts)
+        if best is None or placement.cost < best.cost - 1e-6:
+            best = placement
+    return best
+
+
+def place_group(
+    prompt: Prompt,
+    engines: Sequence[Engine],
+    model: EngineModel,
+    settings: MemorySettings,
+) -> PromptPlacement | None:
+    """Return the cheapest placement that reserves memory on several engines.
+
+    None means that the memory is not there or that no engine that has it has a slot.
+    """
+    whole_s = read_s(model, prompt.tokens)
+    best: PromptPlacement | None = None
+    for parts in PART_COUNTS[1:]:
+        if parts > len(engines):
+            break
+        judged = _rank(prompt, engines, model, whole_s, parts)
+        chosen = _choose_group(prompt, judged, model, parts, settings)
+        if chosen is None:
+            continue
+        placement = _placement(prompt, chosen[0], whole_s / parts, chosen[1])
+        if best is None or placement.cost < best.cost - 1e-6:
+            best = placement
+    return best
+
+
+def _rank(
+    prompt: Prompt,
+    engines: Sequence[Engine],
+    model: EngineModel,
+    whole_s: float,
+    parts: int,
+) -> list[_Judged]:
+    part_s = whole_s / parts
+    order = -1 if whole_s > LONG_READ_S else 1
+    weight = prompt.value
+
+    def rank(one: _Judged) -> tuple[float, int]:
+        late = weight * risk(one.finish_s, prompt.target_s)
+        return round(one.harm + late, 3), order * one.engine.position
+
+    judged = [_judge(prompt, engine, model, part_s) for engine in engines]
+    judged.sort(key=rank)
+    return judged
+
+
+def _choose(
+    prompt: Prompt, judged: list[_Judged], model: EngineModel, parts: int
+) -> list[_Judged] | None:
+    """Return the main engine and its helpers, main first."""
+    order = {id(one): place for place, one in enumerate(judged)}
+    weight = prompt.value
+
+    def main_cost(one: _Judged) -> tuple[float, int]:
+        late = weight * risk(one.finish_s, prompt.target_s)
+        slot = weight * _slot_risk(one.engine, model)
+        return round(one.harm + late + slot, 3), order[id(one)]
+
+    able = [one for one in judged if _can_run(prompt, one.engine, model)]
+    if not able:
+        return None
+    main = min(able, key=main_cost)
+    others = [one for one in judged if one is not main and _can_help(one, model)]
+    if len(others) < parts - 1:
+        return None
+    return [main, *others[: parts - 1]]
+
+
+def _choose_group(
+    prompt: Prompt,
+    judged: list[_Judged],
+    model: EngineModel,
+    parts: int,
+    settings: MemorySettings,
+) -> tuple[list[_Judged], tuple[Part, ...]] | None:
+    able = [one for one in judged if _can_help(one, model)][:parts]
+    if len(able) < parts:
+        return None
+    free = {
+        one.engine.instance: int(
+            model.memory_tokens * MEMORY_SHARE - one.engine.load.memory_tokens
+        )
+        for one in able
+    }
+    reserved = split(prompt.tokens, prompt.answer_tokens, free, settings)
+    if reserved is None:
+        return None
+    names = {part.engine for part in reserved}
+    main = next(
+        (
+            one
+            for one in able
+            if one.engine.instance in names and one.engine.load.requests < model.slots
+        ),
+        None,
+    )
+    if main is None:
+        return None
+    # The memory is filled in the order of the list, so engines that reserved go first.
+    others = [one for one in able if one is not main]
+    others.sort(key=lambda one: one.engine.instance not in names)
+    return [main, *others], reserved
+
+
+def _placement(
+    prompt: Prompt,
+    chosen: list[_Judged],
+    part_s: float,
+    reserved: tuple[Part, ...] = (),
+) -> PromptPlacement:
+    finish = max(one.finish_s for one in chosen)
+    harm = sum(one.harm for one in chosen)
+    helpers = tuple(one.engine.instance for one in chosen[1:])
+    cost = prompt.value * risk(finish, prompt.target_s) + harm
+    # Between placements without risk the earlier one wins.
+    cost += HELPER_COST * len(helpers) + 0.05 * min(finish, 10.0)
+    main = chosen[0].engine.instance
+    return PromptPlacement(main, helpers, finish, part_s, cost, reserved)
+
+
+def _can_run(prompt: Prompt, engine: Engine, model: EngineModel) -> bool:
+    load = engine.load
+    if load.requests >= model.slots:
+        return False
+    free = model.memory_tokens * MEMORY_SHARE - load.memory_tokens
+    return prompt.memory_tokens <= free
+
+
+def _can_help(judged: _Judged, model: EngineModel) -> bool:
+    return judged.engine.load.helping < model.slots
+
+
+def _slot_risk(engine: Engine, model: EngineModel) -> float:
+    free_after = model.slots - engine.load.requests - 1
+    return SLOT_RISK[free_after] if free_after < len(SLOT_RISK) else 0.0
+
+
+def _judge(
+    prompt: Prompt, engine: Engine, model: EngineModel, part_s: float
+) -> _Judged:
+    load = engine.load
+    stride = stride_s(model, len(load.writers), load.context_tokens) * engine.slowness
+    part = part_s * engine.slowness
+    # A new prompt waits for the pass that runs, half of it in the mean. Parts are read
+    # before whole prompts that wait.
+    wait = stride / 2 + load.backlog_s
+    finish = wait + stride + part + (REMOTE_S if engine.is_remote else 0.0)
+    pause = stride + load.backlog_s + part
+    harm = sum(
+        writer.value * risk(pause, writer.gap_target_s) for writer in load.writers
+    )
+    if load.backlog_s > 0 and not load.writers:
+        # Prompts that are being read there are delayed too.
+        harm += 0.02 * part
+    return _Judged(engine, finish, harm)
+
+
+class Worker(msgspec.Struct, frozen=True):
+    """Describe a candidate for a plain call."""
+
+    instance: str
+    slots: int
+    outstanding: int
+    slowness: float = 1.0
+    failure_share: float = 0.0
+    is_remote: bool = False
+
+
+def place_call(
+    workers: Sequence[Worker], may_repeat: bool, random: Random
+) -> Worker | None:
+    """Return the worker for a plain call: few outstanding, quick, seldom failing.
+
+    A call that may not be repeated weighs failures more.
+    """
+    if not workers:
+        return None
+
+    def cost(worker: Worker) -> float:
+        busy = (worker.outstanding + 1) / max(1, worker.slots)
+        failing = worker.failure_share * (2.0 if may_repeat else 6.0)
+        near = 0.0 if not worker.is_remote else 0.05
+        return busy * worker.slowness + failing + near + random.random() * 0.05
+
+    return min(workers, key=cost)
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/placement/health.py
@@ -0,0 +1,83 @@
+"""Remember which upstreams failed lately, seen from this node only."""
+
+import msgspec
+
+# Time in seconds for which an upstream is avoided after one failure; it doubles with
+# each further failure up to the maximum.
+AVOID_S = 1.0
+MAX_AVOID_S = 8.0
+# Weight of a new sample in the running mean of answer times and failures.
+SAMPLE_WEIGHT = 0.2
+# A failure domain counts as cut off if none of its nodes was heard for this many
+# seconds while others were; nodes beat several times in this span.
+DOMAIN_SILENCE_S = 1.6
+
+
+class Failed(msgspec.Struct, frozen=True, tag=True):
+    """State that an upstream did not answer as it should at a time in seconds."""
+
+    instance: str
+    at: float
+
+
+class Answered(msgspec.Struct, frozen=True, tag=True):
+    """State that an upstream answered after `took_s` where `expected_s` was usual."""
+
+    instance: str
+    took_s: float
+    expected_s: float
+
+
+class _Record:
+    __slots__ = ("avoid_until", "failure_share", "failures", "slowness")
+
+    def __init__(self) -> None:
+        self.failures = 0
+        self.avoid_until = 0.0
+        self.failure_share = 0.0
+        self.slowness = 1.0
+
+
+class HealthBook:
+    """Own what this node saw of each upstream; times are monotonic seconds."""
+
+    __slots__ = ("_records",)
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+
+    def hear(self, event: Failed | Answered) -> None:
+        """Take in the outcome of one attempt."""
+        record = self._records.setdefault(event.instance, _Record())
+        match event:
+            case Failed(at=at):
+                record.failures = min(record.failures + 1, 8)
+                pause = min(MAX_AVOID_S, AVOID_S * 2 ** (record.failures - 1))
+                record.avoid_until = at + pause
+                record.failure_share += SAMPLE_WEIGHT * (1 - record.failure_share)
+            case Answered(took_s=took, expected_s=expected):
+                record.failures = 0
+                record.avoid_until = 0.0
+                record.failure_share *= 1 - SAMPLE_WEIGHT
+                ratio = min(8.0, max(0.25, took / max(expected, 1e-3)))
+                record.slowness += SAMPLE_WEIGHT * (ratio - record.slowness)
+
+    def is_avoided(self, instance: str, now: float) -> bool:
+        """Return whether an upstream failed so lately that others go first."""
+        record = self._records.get(instance)
+        return record is not None and now < record.avoid_until
+
+    def slowness(self, instance: str) -> float:
+        """Return how many times slower than expected an upstream answers; 1 if new."""
+        record = self._records.get(instance)
+        return record.slowness if record else 1.0
+
+    def failure_share(self, instance: str) -> float:
+        """Return the running share of failed attempts."""
+        record = self._records.get(instance)
+        return record.failure_share if record else 0.0
+
+    def retain(self, instances: frozenset[str]) -> None:
+        """Forget upstreams that are gone."""
+        for name in self._records.keys() - instances:
+            del self._records[name]
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/placement/jobs.py
@@ -0,0 +1,208 @@
+"""Keep the outstanding work of this node and its peers on each upstream.
+
+Load reports of engines lag by a few hundred milliseconds. All work reaches the engines
+through the nodes, so the sum of what they have outstanding is the fresher picture.
+"""
+
+from collections.abc import Callable, Iterable
+from enum import IntEnum
+
+import msgspec
+
+# Work of a peer that has been silent for this many seconds no longer counts: the peer
+# has stopped and its connections have ended, or it is cut off.
+PEER_WORK_TTL_S = 2.5
+
+
+class Phase(IntEnum):
+    """Say what an upstream does for a job: read, write, help, answer or hold memory."""
+
+    READING = 0
+    WRITING = 1
+    HELPING = 2
+    CALLING = 3
+    HOLDING = 4
+
+
+class Job(msgspec.Struct, frozen=True, array_like=True):
+    """Describe the work that one request has on one upstream.
+
+    `read_s` is the time to read the prompt's part on an idle engine. `value` weighs the
+    request against others. `age_s` counts from the sending, at the time of the message
+    that carries the job.
+    """
+
+    instance: str
+    phase: Phase
+    age_s: float
+    read_s: float = 0.0
+    context_tokens: int = 0
+    memory_tokens: int = 0
+    gap_target_s: float = 0.0
+    value: float = 1.0
+
+
+class Writer(msgspec.Struct, frozen=True):
+    """Describe a writing or reading request that waits for the next event."""
+
+    gap_target_s: float
+    value: float
+
+
+class Load(msgspec.Struct, frozen=True):
+    """Sum up the outstanding work on one upstream; times are in seconds.
+
+    `backlog_s` is reading that has not finished, `memory_tokens` what the requests
+    that run there need at most.
+    """
+
+    requests: int = 0
+    helping: int = 0
+    context_tokens: int = 0
+    backlog_s: float = 0.0
+    memory_tokens: int = 0
+    writers: tuple[Writer, ...] = ()
+
+
+IDLE = Load()
+
+
+class _Held:
+    """A job with the local time of its start in place of its age."""
+
+    __slots__ = ("job", "started_at")
+
+    def __init__(self, job: Job, started_at: float) -> None:
+        self.job = job
+        self.started_at = started_at
+
+
+class JobBook:
+    """Own the outstanding jobs; times are monotonic seconds of this node."""
+
+    __slots__ = ("_index", "_own", "_peers", "changes", "on_change")
+
+    def __init__(self) -> None:
+        self._own: dict[str, list[_Held]] = {}
+        self._peers: dict[str, tuple[float, list[_Held]]] = {}
+        self._index: dict[str, list[_Held]] | None = None
+        # Counts changes of the own jobs, which peers must hear of.
+        self.changes = 0
+        self.on_change: Callable[[], None] = _ignore
+
+    @property
+    def own_requests(self) -> int:
+        """Return the number of this node's requests with outstanding work."""
+        return len(self._own)
+
+    def start(self, request: str, jobs: Iterable[Job], now: float) -> None:
+        """Replace what a request of this node has outstanding."""
+        self._own[request] = [_Held(job, now - job.age_s) for job in jobs]
+        self._changed()
+
+    def write(self, request: str) -> None:
+        """Learn that a request's prompt is read: helpers are done, writing begins."""
+        held = self._own.get(request)
+        if held is None:
+            return
+        self._own[request] = [
+            _Held(msgspec.structs.replace(one.job, phase=phase), one.started_at)
+            for one in held
+            if (phase := _phase_after_reading(one.job)) is not None
+        ]
+        self._changed()
+
+    def end(self, request: str) -> None:
+        """Learn that a request has nothing outstanding any more."""
+        if self._own.pop(request, None) is not None:
+            self._changed()
+
+    def own_jobs(self, now: float) -> tuple[Job, ...]:
+        """Return this node's jobs with their present ages, for peers."""
+        return tuple(
+            msgspec.structs.replace(
+                one.job, age_s=round(max(0.0, now - one.started_at), 3)
+            )
+            for held in self._own.values()
+            for one in held
+        )
+
+    def hear(self, peer: str, jobs: Iterable[Job], now: float) -> None:
+        """Replace what a peer has outstanding by its newest message."""
+        self._peers[peer] = (now, [_Held(job, now - job.age_s) for job in jobs])
+        self._index = None
+
+    def forget(self, peer: str) -> None:
+        """Drop the work of a peer that has stopped."""
+        if self._peers.pop(peer, None) is not None:
+            self._index = None
+
+    def expire(self, now: float) -> None:
+        """Drop the work of peers that have been silent for too long."""
+        for peer, (heard_at, _) in list(self._peers.items()):
+            if now - heard_at > PEER_WORK_TTL_S:
+                self.forget(peer)
+
+    def load(self, instance: str, now: float) -> Load:
+        """Return the outstanding work on one upstream."""
+        held = self._indexed().get(instance)
+        if not held:
+            return IDLE
+        return _sum_up(held, now)
+
+    def _changed(self) -> None:
+        self._index = None
+        self.changes += 1
+        self.on_change()
+
+    def _indexed(self) -> dict[str, list[_Held]]:
+        if self._index is None:
+            index: dict[str, list[_Held]] = {}
+            for held in self._own.values():
+                for one in held:
+                    index.setdefault(one.job.instance, []).append(one)
+            for _, work in self._peers.values():
+                for one in work:
+                    index.setdefault(one.job.instance, []).append(one)
+            for work in index.values():
+                work.sort(key=_started_at)
+            self._index = index
+        return self._index
+
+
+def _ignore() -> None:
+    """Stand in until somebody wants to hear of changes."""
+
+
+def _phase_after_reading(job: Job) -> Phase | None:
+    if job.phase is Phase.READING:
+        return Phase.WRITING
+    # A helper keeps only memory that it reserved.
+    return Phase.HOLDING if job.memory_tokens else None
+
+
+def _started_at(held: _Held) -> float:
+    return held.started_at
+
+
+def _sum_up(held: list[_Held], now: float) -> Load:
+    requests = helping = context = memory = 0
+    backlog, last = 0.0, now
+    writers = []
+    for one in held:
+        job = one.job
+        memory += job.memory_tokens
+        if job.phase is Phase.HELPING:
+            helping += 1
+        elif job.phase is not Phase.HOLDING:
+            requests += 1
+        if job.phase in (Phase.WRITING, Phase.HOLDING):
+            context += job.context_tokens
+        if job.phase is Phase.WRITING:
+            writers.append(Writer(job.gap_target_s, job.value))
+        if job.phase in (Phase.READING, Phase.HELPING):
+            # Reads are worked off one after the other from the first one's start.
+            backlog = max(0.0, backlog - (one.started_at - last)) + job.read_s
+            last = one.started_at
+    backlog = max(0.0, backlog - (now - last))
+    return Load(requests, helping, context, backlog, memory, tuple(writers))
--- a/packages/dandelionpond/src/dandelionpond/tests/test_imports.py
+++ b/packages/dandelionpond/src/dandelionpond/tests/test_imports.py
@@ -18,6 +18,10 @@
     "orders",
     "shutdown",
     "record",
+    "published",
+    "placement",
+    "forwarding",
+    "mesh",
 )
 SHARED = ("errors.py", "hashing.py", "identity.py")
 PERMITTED = {
