Test the new slices, and count a backlog from its first job

The tests found that the backlog of an engine grew by the age of its first job: the sum began at the present in place of the first job's start.

--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/mesh/tests/test_peers.py
@@ -0,0 +1,105 @@
+"""Test which peers count as live and what each node costs."""
+
+from random import Random
+
+import msgspec
+import pytest
+
+from dandelionpond.mesh.messages import Beat, decode, encode
+from dandelionpond.mesh.peers import (
+    BEAT_S,
+    FORGET_S,
+    MAX_BEATS_PER_S,
+    MAX_PEERS,
+    PeerBook,
+)
+from dandelionpond.placement.jobs import Job, Phase
+
+SELF = "10.0.0.1:7000"
+
+
+def beat(node="n", started_ms=5, sequence=1, domain="a", **fields):
+    return Beat(node, started_ms, sequence, domain, False, 0, 0, 0, -1.0, **fields)
+
+
+def book(*seeds):
+    return PeerBook(SELF, seeds, Random(1))
+
+
+class TestBeat:
+    def test_survives_the_wire(self):
+        """Guard against a datagram that peers cannot read."""
+        sent = beat(jobs=(Job("e", Phase.READING, 0.1, 0.2),), peers=("x:1",))
+        assert decode(encode(sent)) == sent
+
+    @pytest.mark.parametrize("data", [b"", b"\x00", b"x" * 40, b"\x93\x01\x02\x03"])
+    def test_garbage_is_refused(self, data):
+        """Guard against a datagram from elsewhere that ends the process."""
+        with pytest.raises(msgspec.MsgspecError):
+            decode(data)
+
+
+class TestHear:
+    def test_late_beat_is_dropped(self):
+        """Guard against older work that replaces newer."""
+        peers = book()
+        assert peers.hear("p:1", beat(sequence=2), 0.0)
+        assert not peers.hear("p:1", beat(sequence=1), 0.1)
+
+    def test_restart_after_a_clock_step_back_is_heard(self):
+        """Guard against a node that stays silent because its clock stepped back."""
+        peers = book()
+        peers.hear("p:1", beat(started_ms=9_000, sequence=50), 0.0)
+        assert peers.hear("p:1", beat(started_ms=7_000, sequence=1), 1.0)
+        assert not peers.hear("p:1", beat(started_ms=9_000, sequence=51), 1.1)
+
+    def test_peers_of_peers_are_learned(self):
+        """Guard against a node that knows its seeds only."""
+        peers = book("s:1")
+        peers.hear("s:1", beat(peers=("x:1", "y:1", SELF)), 0.0)
+        assert set(peers.addresses) == {"s:1", "x:1", "y:1"}
+
+    def test_number_of_peers_is_bounded(self):
+        """Guard against a table that a broken peer fills."""
+        peers = book()
+        for number in range(MAX_PEERS + 5):
+            peers.hear(f"p{number}:1", beat(node=f"n{number}"), 0.0)
+        assert len(peers.addresses) == MAX_PEERS
+        assert peers.counters["at_bound"] == 5
+
+
+class TestDue:
+    def test_cost_is_flat_in_the_size_of_the_fleet(self):
+        """Guard against beats that grow with the square of the fleet."""
+        peers = book(*(f"p{number}:1" for number in range(400)))
+        assert len(peers.due(0.0)) / peers.interval_s <= MAX_BEATS_PER_S + 1
+
+    def test_small_fleet_beats_often(self):
+        """Guard against slow news in a small fleet."""
+        assert book("p:1").interval_s == BEAT_S
+
+    def test_silent_peer_is_asked_seldom_and_then_forgotten(self):
+        """Guard against a fleet that keeps the addresses of replaced VMs."""
+        peers = book()
+        peers.hear("p:1", beat(), 0.0)
+        asked = [bool(peers.due(5.0 + step * 0.5)) for step in range(40)]
+        assert 0 < sum(asked) < 40
+        assert peers.due(FORGET_S + 1.0) == []
+        assert peers.addresses == ()
+
+
+class TestSilentDomains:
+    def test_domain_that_fell_silent(self):
+        """Guard against waiting for each upstream beyond a cut to time out."""
+        peers = book()
+        peers.hear("a:1", beat("a1", domain="a"), 0.0)
+        peers.hear("b:1", beat("b1", domain="b"), 0.0)
+        peers.hear("a:1", beat("a1", sequence=2, domain="a"), 3.0)
+        assert peers.silent_domains(3.0, 1.6) == frozenset({"b"})
+
+    def test_own_isolation_says_nothing(self):
+        """Guard against a node that is cut off and avoids every upstream."""
+        peers = book()
+        peers.hear("a:1", beat("a1", domain="a"), 0.0)
+        peers.hear("b:1", beat("b1", domain="b"), 0.0)
+        assert peers.silent_domains(9.0, 1.6) == frozenset()
--- a/packages/dandelionpond/src/dandelionpond/placement/jobs.py
+++ b/packages/dandelionpond/src/dandelionpond/placement/jobs.py
@@ -187,7 +187,7 @@
 
 def _sum_up(held: list[_Held], now: float) -> Load:
     requests = helping = context = memory = 0
-    backlog, last = 0.0, now
+    backlog, last = 0.0, held[0].started_at
     writers = []
     for one in held:
         job = one.job
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/placement/tests/test_jobs.py
@@ -0,0 +1,92 @@
+"""Test the picture of outstanding work that nodes share."""
+
+import pytest
+
+from dandelionpond.placement.jobs import PEER_WORK_TTL_S, Job, JobBook, Phase
+
+READING, WRITING = Phase.READING, Phase.WRITING
+
+
+def reading(instance="e", read_s=0.1, age_s=0.0, **fields):
+    return Job(instance, READING, age_s, read_s, **fields)
+
+
+class TestLoad:
+    def test_backlog_is_worked_off(self):
+        """Guard against an engine that looks busy after it has finished reading."""
+        book = JobBook()
+        book.start("a", [reading(read_s=0.4)], 0.0)
+        book.start("b", [reading(read_s=0.2)], 0.1)
+        assert book.load("e", 0.1).backlog_s == pytest.approx(0.5)
+        assert book.load("e", 0.4).backlog_s == pytest.approx(0.2)
+        assert book.load("e", 2.0).backlog_s == 0.0
+
+    def test_idle_time_is_not_saved(self):
+        """Guard against an idle pause that hides later reading."""
+        book = JobBook()
+        book.start("a", [reading(read_s=0.1)], 0.0)
+        book.start("b", [reading(read_s=0.3)], 5.0)
+        assert book.load("e", 5.0).backlog_s == pytest.approx(0.3)
+
+    def test_first_event_turns_reading_into_writing(self):
+        """Guard against helpers that stay busy, and memory that is forgotten."""
+        book = JobBook()
+        jobs = [
+            reading("main", context_tokens=50, memory_tokens=60, gap_target_s=0.2),
+            Job("plain", Phase.HELPING, 0.0, 0.1),
+            Job("holder", Phase.HELPING, 0.0, 0.1, 40, 40),
+        ]
+        book.start("a", jobs, 0.0)
+        assert book.load("plain", 0.0).helping == 1
+        book.write("a")
+        main = book.load("main", 0.1)
+        assert (main.requests, main.context_tokens, main.memory_tokens) == (1, 50, 60)
+        assert [one.gap_target_s for one in main.writers] == [0.2]
+        assert book.load("plain", 0.1).helping == 0
+        holder = book.load("holder", 0.1)
+        assert (holder.requests, holder.memory_tokens, holder.context_tokens) == (
+            0,
+            40,
+            40,
+        )
+
+    def test_end_leaves_nothing(self):
+        """Guard against work that stays in the book for ever."""
+        book = JobBook()
+        book.start("a", [reading()], 0.0)
+        book.end("a")
+        assert book.load("e", 0.0).requests == 0
+        assert book.own_requests == 0
+
+
+class TestPeers:
+    def test_peers_add_up(self):
+        """Guard against many nodes that see an engine as free and all send there."""
+        book = JobBook()
+        for number in range(3):
+            book.hear(f"p{number}", [reading(read_s=0.1, age_s=0.05)], 1.0)
+        load = book.load("e", 1.0)
+        assert load.requests == 3
+        assert load.backlog_s == pytest.approx(0.25)
+
+    def test_newer_message_replaces(self):
+        """Guard against work of a peer that is counted twice."""
+        book = JobBook()
+        book.hear("p", [reading(), reading()], 0.0)
+        book.hear("p", [reading()], 0.1)
+        assert book.load("e", 0.1).requests == 1
+
+    def test_silent_peer_expires(self):
+        """Guard against engines that stay full of a dead node's work."""
+        book = JobBook()
+        book.hear("p", [reading()], 0.0)
+        book.expire(PEER_WORK_TTL_S - 0.1)
+        assert book.load("e", 0.0).requests == 1
+        book.expire(PEER_WORK_TTL_S + 0.1)
+        assert book.load("e", 0.0).requests == 0
+
+    def test_own_jobs_carry_their_age(self):
+        """Guard against peers that count a job from the time they heard of it."""
+        book = JobBook()
+        book.start("a", [reading()], 10.0)
+        assert [job.age_s for job in book.own_jobs(10.25)] == [0.25]
