--- a/packages/dandelionpond/src/dandelionpond/entry/fleet.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/fleet.py
@@ -16,6 +16,7 @@
     Prompt,
     PromptPlacement,
     Worker,
+    pause_s,
     place_call,
     place_group,
     place_prompt,
@@ -127,11 +128,12 @@
         for entry in self._in_order(now).get(service, ()):
             if entry.state is not UpstreamState.READY or entry.instance in tried:
                 continue
-            is_bad = (
-                self.health.is_avoided(entry.instance, now)
-                or entry.failure_domain in self._silent
-            )
-            (avoided if is_bad else good).append(entry)
+            (avoided if self.is_doubtful(entry) else good).append(entry)
+        if len(avoided) > len(good):
+            # When most fail, the cause is elsewhere; the few left would only drown.
+            good += [one for one in avoided if one.failure_domain not in self._silent]
+            good.sort(key=_position)
+            avoided = [one for one in avoided if one.failure_domain in self._silent]
         return Candidates(tuple(good), tuple(avoided))
 
     def place_prompt(
@@ -142,23 +144,35 @@
         A prompt for which no engine has the memory gets it on several.
         """
         now = self.now()
-        domain = self.settings.failure_domain
         engines = [
-            Engine(
-                entry.instance,
-                entry.address,
-                position,
-                self.jobs.load(entry.instance, now),
-                max(1.0, self.health.slowness(entry.instance)),
-                entry.failure_domain != domain,
-            )
-            for position, entry in enumerate(entries)
+            self._engine(entry, position, now) for position, entry in enumerate(entries)
         ]
         placement = place_prompt(prompt, engines, model)
         if placement is None and prompt.tokens > GROUP_TOKENS:
             return place_group(prompt, engines, model, GROUP_MEMORY)
         return placement
 
+    def is_doubtful(self, entry: UpstreamEntry) -> bool:
+        """Return whether an upstream failed lately or lies in a silent domain."""
+        return (
+            self.health.is_avoided(entry.instance, self.now())
+            or entry.failure_domain in self._silent
+        )
+
+    def pause_s(self, entry: UpstreamEntry, model: EngineModel) -> float:
+        """Return the pause of a stream that the known work on its engine explains."""
+        return pause_s(self._engine(entry, 0, self.now()), model)
+
+    def _engine(self, entry: UpstreamEntry, position: int, now: float) -> Engine:
+        return Engine(
+            entry.instance,
+            entry.address,
+            position,
+            self.jobs.load(entry.instance, now),
+            max(1.0, self.health.slowness(entry.instance)),
+            entry.failure_domain != self.settings.failure_domain,
+        )
+
     def place_call(
         self, entries: tuple[UpstreamEntry, ...], may_repeat: bool
     ) -> UpstreamEntry | None:
--- a/packages/dandelionpond/src/dandelionpond/entry/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/prompts.py
@@ -17,18 +17,23 @@
     Silent,
 )
 from dandelionpond.forwarding.policy import Progress
-from dandelionpond.placement.choice import Prompt, PromptPlacement
+from dandelionpond.placement.choice import (
+    FIRST_PATIENCE_FACTOR,
+    LONG_READ_S,
+    Prompt,
+    PromptPlacement,
+    patience_s,
+)
 from dandelionpond.placement.jobs import Job, Phase
 from dandelionpond.published.messages import EngineModel, UpstreamEntry
 
-# A stream that pauses longer than this many times its target, and longer than the
-# minimum in seconds, goes on at another engine. Clients give up after eight times the
-# target and not before two seconds.
-STALL_FACTOR = 2.0
-MIN_STALL_S = 0.9
-# Time in seconds and factor by which a first event may be later than predicted.
-FIRST_EVENT_SLACK_S = 0.9
-FIRST_EVENT_FACTOR = 2.0
+# Part of its client's patience after which a silent stream goes on at another engine;
+# the rest is for the first event there. Reading a prompt again takes an engine longer
+# than most pauses, so only signs of a failure make a node less patient.
+STALL_SHARE = 0.8
+# Pause in seconds, beyond what work on an engine explains, after which a stream goes
+# on elsewhere if the engine failed other requests lately.
+DOUBTFUL_STALL_S = 0.5
 # Interval in seconds between two looks for a free engine, and part of the remaining
 # time of a request that it waits for one.
 LOOK_S = 0.02
@@ -136,6 +141,8 @@
         fleet, call = self._forwarder.fleet, run.call
         began = fleet.now()
         fleet.jobs.start(call.head.request_id, _jobs(run, placement), began)
+        if placement.start_in_s > 0:
+            await asyncio.sleep(placement.start_in_s)
         run.trace.predicted_s = placement.first_event_s
         if placement.reserved:
             attempt = await self._exchange_in_group(run, placement, entries)
@@ -146,6 +153,7 @@
                 "upstream": placement.main,
                 "helpers": list(placement.helpers),
                 "predicted_s": round(placement.first_event_s, 3),
+                "held_s": round(placement.start_in_s, 3),
                 "cost": round(placement.cost, 3),
                 "took_s": round(fleet.now() - began, 3),
                 "first_event_s": round(run.first_event_s, 3),
@@ -180,8 +188,15 @@
         forwarder, call = self._forwarder, run.call
         began = forwarder.fleet.now()
         remaining = call.deadline_at - began
-        limit = placement.first_event_s * FIRST_EVENT_FACTOR + FIRST_EVENT_SLACK_S
         main = entries[placement.main]
+        limit = remaining
+        if placement.part_read_s <= LONG_READ_S:
+            # A long prompt is not read again: that takes more than the client waits.
+            limit = STALL_SHARE * max(
+                patience_s(call.route.gap_target_s),
+                FIRST_PATIENCE_FACTOR * call.route.target_s,
+                placement.first_event_s,
+            )
         helpers = self._helpers(placement, entries, group)
         opened = await forwarder.open(
             call, main, min(limit, remaining), run.splitter.last_id, helpers
@@ -194,7 +209,7 @@
                 return Attempt(head)
             if head.status >= 400:
                 return await forwarder.failure(call, opened, head)
-            outcome = await self._relay(run, placement, opened, began, limit)
+            outcome = await self._relay(run, placement, entries, opened, began, limit)
             return Attempt(outcome)
         finally:
             opened.close()
@@ -221,17 +236,26 @@
         self,
         run: _Run,
         placement: PromptPlacement,
+        entries: dict[str, UpstreamEntry],
         exchange: Exchange,
         sent_at: float,
         first_event_limit_s: float,
     ) -> Outcome | None:
         """Pass events on until the end; return the outcome if it broke off."""
         fleet, call, reply = self._forwarder.fleet, run.call, run.reply
-        stall = max(MIN_STALL_S, STALL_FACTOR * call.route.gap_target_s)
+        gap_target = call.route.gap_target_s
+        stall = STALL_SHARE * patience_s(gap_target)
+        main = entries[placement.main]
         is_writing = False
         while True:
             now = fleet.now()
-            limit = stall if is_writing else sent_at + first_event_limit_s - now
+            if is_writing:
+                limit = stall
+                if fleet.is_doubtful(main):
+                    explained = fleet.pause_s(main, run.model)
+                    limit = min(limit, explained + DOUBTFUL_STALL_S)
+            else:
+                limit = sent_at + first_event_limit_s - now
             limit = min(limit, call.deadline_at - now)
             try:
                 async with asyncio.timeout(max(0.001, limit)):
@@ -248,13 +272,17 @@
             waited = fleet.now() - now
             if is_writing:
                 run.longest_pause_s = max(run.longest_pause_s, waited)
+                is_late = waited > gap_target
             else:
                 is_writing = True
                 run.first_event_s = fleet.now() - sent_at
+                is_late = fleet.now() - call.arrived_at > call.route.target_s
                 fleet.jobs.write(call.head.request_id)
                 if not placement.helpers:
                     took = run.first_event_s
                     fleet.answered(placement.main, took, placement.first_event_s)
+            if is_late:
+                fleet.jobs.miss(call.head.request_id)
             if events:
                 await self._begin(run, exchange)
                 await reply.part(events)
@@ -276,7 +304,7 @@
 def _jobs(run: _Run, placement: PromptPlacement) -> list[Job]:
     head, gap = run.call.head, run.call.route.gap_target_s
     value = Prompt(head.prompt_tokens, 0, 0.0, gap).value
-    part = placement.part_read_s
+    part, age = placement.part_read_s, -placement.start_in_s
     reserved = {part.engine: part.tokens for part in placement.reserved}
     memory = head.prompt_tokens + head.answer_tokens
     context = head.prompt_tokens
@@ -286,7 +314,7 @@
         Job(
             placement.main,
             Phase.READING,
-            0.0,
+            age,
             part,
             context,
             reserved.get(placement.main, memory),
--- a/packages/dandelionpond/src/dandelionpond/placement/choice.py
+++ b/packages/dandelionpond/src/dandelionpond/placement/choice.py
@@ -16,14 +16,26 @@
 from dandelionpond.memory.messages import Part
 from dandelionpond.memory.settings import MemorySettings
 from dandelionpond.placement.engine_time import read_s, stride_s
-from dandelionpond.placement.jobs import Load
+from dandelionpond.placement.jobs import Load, Writer
 from dandelionpond.published.messages import EngineModel
 
 # Share of a target at which the risk of missing it begins, and at which it is certain.
 RISK_FROM = 0.55
 RISK_TO = 1.1
-# Parts into which a prompt may be split; the platform permits 16 helpers.
-PART_COUNTS = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
+# Parts into which a prompt may be split; engines take 16 entries of helpers, one of them
+# for memory that the main engine reserved.
+PART_COUNTS = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 16)
+# Clients of streams give up after this many times the target of their pauses, and not
+# before the minimum in seconds.
+PATIENCE_FACTOR = 8.0
+# They wait this many times the target for the first event, or as for later ones.
+FIRST_PATIENCE_FACTOR = 4.0
+MIN_PATIENCE_S = 2.0
+# Part of its value that a late answer keeps.
+LATE_SHARE = 0.25
+# Cost of a second until the first event, so that the earlier one of two placements
+# without risk wins.
+TIME_COST = 0.1
 # Cost of one helper: a further engine whose failure delays the prompt.
 HELPER_COST = 0.03
 # Reading time in seconds from which a prompt counts as long.
@@ -34,7 +46,11 @@
 MEMORY_SHARE = 0.97
 # Part of a prompt's value that taking the last free slot of an engine costs, and the
 # last but one, and so on: other nodes may send there before they hear of it.
-SLOT_RISK = (0.3, 0.08, 0.02)
+SLOT_RISK = (0.05, 0.01)
+# Cost for a short prompt of an engine without requests; it falls with their number, so
+# that short prompts fill engines and leave others, where long prompts are read without
+# delaying an answer.
+OPEN_COST = 0.2
 # Factor on the cost for an engine in another failure domain, as added seconds.
 REMOTE_S = 0.002
 
@@ -76,7 +92,9 @@
     """Name the engine that writes and those that help to read.
 
     `reserved` is memory that must be reserved first, on the main engine and on some of
-    the helpers; without it the main engine holds the whole prompt.
+    the helpers; without it the main engine holds the whole prompt. Engines read the
+    newest part first, so a prompt in parts is sent only after `start_in_s`, when the
+    parts before it are read.
     """
 
     main: str
@@ -85,16 +103,24 @@
     part_read_s: float
     cost: float
     reserved: tuple[Part, ...] = ()
+    start_in_s: float = 0.0
 
 
 class _Judged:
-    __slots__ = ("engine", "finish_s", "harm")
+    __slots__ = ("engine", "harm", "wait_s", "work_s")
 
-    def __init__(self, engine: Engine, finish_s: float, harm: float) -> None:
+    def __init__(
+        self, engine: Engine, wait_s: float, work_s: float, harm: float
+    ) -> None:
         self.engine = engine
-        self.finish_s = finish_s
+        self.wait_s = wait_s
+        self.work_s = work_s
         self.harm = harm
 
+    @property
+    def finish_s(self) -> float:
+        return self.wait_s + self.work_s
+
 
 def risk(expected_s: float, target_s: float) -> float:
     """Return how likely an expected time misses its target, from 0 to 1."""
@@ -104,6 +130,27 @@
     return min(1.0, max(0.0, (share - RISK_FROM) / (RISK_TO - RISK_FROM)))
 
 
+def patience_s(gap_target_s: float) -> float:
+    """Return the pause after which the client of a stream gives up."""
+    return max(MIN_PATIENCE_S, PATIENCE_FACTOR * gap_target_s)
+
+
+def pause_loss(writer: Writer, pause: float) -> float:
+    """Return what a pause of a stream is expected to cost.
+
+    A late answer keeps a part of its value, which is lost when its client gives up.
+    """
+    late = 0.0 if writer.is_late else risk(pause, writer.gap_target_s)
+    lost = risk(pause, patience_s(writer.gap_target_s))
+    return writer.value * ((1 - LATE_SHARE) * late + LATE_SHARE * lost)
+
+
+def first_event_loss(expected_s: float, target_s: float) -> float:
+    """Return the part of a prompt's value that its first event's time puts at risk."""
+    lost = risk(expected_s, max(MIN_PATIENCE_S, FIRST_PATIENCE_FACTOR * target_s))
+    return (1 - LATE_SHARE) * risk(expected_s, target_s) + LATE_SHARE * lost
+
+
 def place_prompt(
     prompt: Prompt, engines: Sequence[Engine], model: EngineModel
 ) -> PromptPlacement | None:
@@ -115,7 +162,7 @@
         if parts > len(engines) or (parts > 1 and not is_long):
             break
         judged = _rank(prompt, engines, model, whole_s, parts)
-        chosen = _choose(prompt, judged, model, parts)
+        chosen = _choose(prompt, judged, model, parts, is_long)
         if chosen is None:
             continue
         placement = _placement(prompt, chosen, whole_s / parts)
@@ -124,6 +171,13 @@
     return best
 
 
+def pause_s(engine: Engine, model: EngineModel) -> float:
+    """Return the pause between two events that the work on an engine explains."""
+    load = engine.load
+    stride = stride_s(model, max(1, len(load.writers)), load.context_tokens)
+    return (stride + load.backlog_s) * engine.slowness
+
+
 def place_group(
     prompt: Prompt,
     engines: Sequence[Engine],
@@ -161,25 +215,32 @@
     weight = prompt.value
 
     def rank(one: _Judged) -> tuple[float, int]:
-        late = weight * risk(one.finish_s, prompt.target_s)
-        return round(one.harm + late, 3), order * one.engine.position
+        late = weight * first_event_loss(one.finish_s, prompt.target_s)
+        cost = one.harm + late + TIME_COST * one.finish_s
+        return round(cost, 2), order * one.engine.position
 
-    judged = [_judge(prompt, engine, model, part_s) for engine in engines]
+    judged = [_judge(engine, model, part_s) for engine in engines]
     judged.sort(key=rank)
     return judged
 
 
 def _choose(
-    prompt: Prompt, judged: list[_Judged], model: EngineModel, parts: int
+    prompt: Prompt,
+    judged: list[_Judged],
+    model: EngineModel,
+    parts: int,
+    is_long: bool,
 ) -> list[_Judged] | None:
     """Return the main engine and its helpers, main first."""
     order = {id(one): place for place, one in enumerate(judged)}
     weight = prompt.value
 
     def main_cost(one: _Judged) -> tuple[float, int]:
-        late = weight * risk(one.finish_s, prompt.target_s)
+        late = weight * first_event_loss(one.finish_s, prompt.target_s)
         slot = weight * _slot_risk(one.engine, model)
-        return round(one.harm + late + slot, 3), order[id(one)]
+        opened = 0.0 if is_long else OPEN_COST / (1 + one.engine.load.requests)
+        cost = one.harm + late + slot + opened + TIME_COST * one.finish_s
+        return round(cost, 2), order[id(one)]
 
     able = [one for one in judged if _can_run(prompt, one.engine, model)]
     if not able:
@@ -233,14 +294,15 @@
     part_s: float,
     reserved: tuple[Part, ...] = (),
 ) -> PromptPlacement:
-    finish = max(one.finish_s for one in chosen)
+    wait = max(one.wait_s for one in chosen)
+    finish = wait + max(one.work_s for one in chosen)
     harm = sum(one.harm for one in chosen)
     helpers = tuple(one.engine.instance for one in chosen[1:])
-    cost = prompt.value * risk(finish, prompt.target_s) + harm
-    # Between placements without risk the earlier one wins.
-    cost += HELPER_COST * len(helpers) + 0.05 * min(finish, 10.0)
+    cost = prompt.value * first_event_loss(finish, prompt.target_s) + harm
+    cost += HELPER_COST * len(helpers) + TIME_COST * finish
     main = chosen[0].engine.instance
-    return PromptPlacement(main, helpers, finish, part_s, cost, reserved)
+    start = wait if helpers else 0.0
+    return PromptPlacement(main, helpers, finish, part_s, cost, reserved, start)
 
 
 def _can_run(prompt: Prompt, engine: Engine, model: EngineModel) -> bool:
@@ -260,24 +322,18 @@
     return SLOT_RISK[free_after] if free_after < len(SLOT_RISK) else 0.0
 
 
-def _judge(
-    prompt: Prompt, engine: Engine, model: EngineModel, part_s: float
-) -> _Judged:
+def _judge(engine: Engine, model: EngineModel, part_s: float) -> _Judged:
     load = engine.load
     stride = stride_s(model, len(load.writers), load.context_tokens) * engine.slowness
     part = part_s * engine.slowness
-    # A new prompt waits for the pass that runs, half of it in the mean. Parts are read
-    # before whole prompts that wait.
-    wait = stride / 2 + load.backlog_s
-    finish = wait + stride + part + (REMOTE_S if engine.is_remote else 0.0)
-    pause = stride + load.backlog_s + part
+    before = stride + load.backlog_s
     harm = sum(
-        writer.value * risk(pause, writer.gap_target_s) for writer in load.writers
+        pause_loss(writer, before + part) - pause_loss(writer, before)
+        for writer in load.writers
     )
-    if load.backlog_s > 0 and not load.writers:
-        # Prompts that are being read there are delayed too.
-        harm += 0.02 * part
-    return _Judged(engine, finish, harm)
+    # A new prompt waits for the pass that runs, half of it in the mean.
+    work = 1.5 * stride + part + (REMOTE_S if engine.is_remote else 0.0)
+    return _Judged(engine, load.backlog_s, work, harm)
 
 
 class Worker(msgspec.Struct, frozen=True):
--- a/packages/dandelionpond/src/dandelionpond/placement/jobs.py
+++ b/packages/dandelionpond/src/dandelionpond/placement/jobs.py
@@ -28,8 +28,9 @@
     """Describe the work that one request has on one upstream.
 
     `read_s` is the time to read the prompt's part on an idle engine. `value` weighs the
-    request against others. `age_s` counts from the sending, at the time of the message
-    that carries the job.
+    request against others; `is_late` says that it has missed its target already, so
+    that only its completion is at stake. `age_s` counts from the sending, at the time
+    of the message that carries the job; it is negative for one that is sent later.
     """
 
     instance: str
@@ -40,13 +41,15 @@
     memory_tokens: int = 0
     gap_target_s: float = 0.0
     value: float = 1.0
+    is_late: bool = False
 
 
 class Writer(msgspec.Struct, frozen=True):
-    """Describe a writing or reading request that waits for the next event."""
+    """Describe a writing request that waits for the next event."""
 
     gap_target_s: float
     value: float
+    is_late: bool = False
 
 
 class Load(msgspec.Struct, frozen=True):
@@ -112,6 +115,17 @@
         ]
         self._changed()
 
+    def miss(self, request: str) -> None:
+        """Learn that a request has missed its target."""
+        held = self._own.get(request)
+        if held is None:
+            return
+        self._own[request] = [
+            _Held(msgspec.structs.replace(one.job, is_late=True), one.started_at)
+            for one in held
+        ]
+        self._changed()
+
     def end(self, request: str) -> None:
         """Learn that a request has nothing outstanding any more."""
         if self._own.pop(request, None) is not None:
@@ -120,9 +134,7 @@
     def own_jobs(self, now: float) -> tuple[Job, ...]:
         """Return this node's jobs with their present ages, for peers."""
         return tuple(
-            msgspec.structs.replace(
-                one.job, age_s=round(max(0.0, now - one.started_at), 3)
-            )
+            msgspec.structs.replace(one.job, age_s=round(now - one.started_at, 3))
             for held in self._own.values()
             for one in held
         )
@@ -199,7 +211,7 @@
         if job.phase in (Phase.WRITING, Phase.HOLDING):
             context += job.context_tokens
         if job.phase is Phase.WRITING:
-            writers.append(Writer(job.gap_target_s, job.value))
+            writers.append(Writer(job.gap_target_s, job.value, job.is_late))
         if job.phase in (Phase.READING, Phase.HELPING):
             # Reads are worked off one after the other from the first one's start.
             backlog = max(0.0, backlog - (one.started_at - last)) + job.read_s
