Count idle engines in the cost, wait for parts that are not done, shrink datagrams

A prompt in parts now waits until earlier parts on its engines are done, and what an engine waits for others costs.

--- a/packages/dandelionpond/src/dandelionpond/entry/mesh.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/mesh.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from dandelionpond.entry.fleet import Fleet
-from dandelionpond.mesh.messages import Beat, decode, encode
+from dandelionpond.mesh.messages import MS, Beat, decode, encode, pack, unpack
 from dandelionpond.mesh.peers import PEERS_IN_ANSWER, PEERS_IN_BEAT
 
 log = logging.getLogger("dandelionpond.mesh")
@@ -66,7 +66,7 @@
         address = f"{addr[0]}:{addr[1]}"
         if not fleet.peers.hear(address, beat, now):
             return
-        fleet.jobs.hear(address, beat.jobs, now)
+        fleet.jobs.hear(address, unpack(beat.jobs), now)
         if beat.wants_answer:
             self._send(address, self._beat(PEERS_IN_ANSWER))
         self._heard(beat)
@@ -83,7 +83,8 @@
     def tell_now(self) -> None:
         """Send a beat to all live peers at once."""
         now = self._fleet.now()
-        self._send_all([peer.address for peer in self._fleet.peers.live(now)])
+        live = [peer.address for peer in self._fleet.peers.live(now)]
+        self._send_all(live, peers=0)
 
     def tick(self) -> None:
         """Send the regular beat and log peers that came or fell silent."""
@@ -107,11 +108,16 @@
         self._news = None
         self.tell_now()
 
-    def _send_all(self, addresses: Sequence[str], wants_answer: bool = False) -> None:
+    def _send_all(
+        self,
+        addresses: Sequence[str],
+        wants_answer: bool = False,
+        peers: int = PEERS_IN_BEAT,
+    ) -> None:
         self._told_changes = self._fleet.jobs.changes
         if not addresses:
             return
-        data = encode(self._beat(PEERS_IN_BEAT, wants_answer))
+        data = encode(self._beat(peers, wants_answer))
         for address in addresses:
             self._send_data(address, data)
 
@@ -138,9 +144,9 @@
             fleet.keeper.revision,
             fleet.keeper.digest,
             fleet.keeper.version,
-            -1.0 if age is None else round(age, 3),
-            fleet.jobs.own_jobs(now),
-            fleet.peers.sample(now, peers),
+            -1 if age is None else round(age * MS),
+            pack(fleet.jobs.own_jobs(now)),
             fleet.settings.fetch_address,
+            fleet.peers.sample(now, peers) if peers else (),
             wants_answer,
         )
--- a/packages/dandelionpond/src/dandelionpond/entry/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/prompts.py
@@ -38,6 +38,8 @@
 # time of a request that it waits for one.
 LOOK_S = 0.02
 WAIT_SHARE = 0.12
+# Longest time in seconds that a prompt in parts is held beyond the predicted one.
+MAX_EXTRA_HOLD_S = 0.8
 
 
 class _Run:
@@ -141,8 +143,8 @@
         fleet, call = self._forwarder.fleet, run.call
         began = fleet.now()
         fleet.jobs.start(call.head.request_id, _jobs(run, placement), began)
-        if placement.start_in_s > 0:
-            await asyncio.sleep(placement.start_in_s)
+        if placement.helpers:
+            await self._hold(call.head.request_id, placement.start_in_s)
         run.trace.predicted_s = placement.first_event_s
         if placement.reserved:
             attempt = await self._exchange_in_group(run, placement, entries)
@@ -164,6 +166,23 @@
         )
         return attempt
 
+    async def _hold(self, request: str, planned_s: float) -> None:
+        """Wait until the engines of a prompt in parts have read the parts before it.
+
+        An engine reads the newest part first, so the rest of an earlier one would wait
+        for all that come after it.
+        """
+        fleet = self._forwarder.fleet
+        began = fleet.now()
+        if planned_s > 0:
+            await asyncio.sleep(planned_s)
+        until = began + planned_s + MAX_EXTRA_HOLD_S
+        while not fleet.jobs.is_first(request, fleet.now()):
+            if fleet.now() >= until:
+                self._forwarder.count("held_too_long")
+                return
+            await asyncio.sleep(LOOK_S)
+
     async def _exchange_in_group(
         self, run: _Run, placement: PromptPlacement, entries: dict[str, UpstreamEntry]
     ) -> Attempt:
@@ -190,7 +209,7 @@
         remaining = call.deadline_at - began
         main = entries[placement.main]
         limit = remaining
-        if placement.part_read_s <= LONG_READ_S:
+        if placement.part_read_s <= LONG_READ_S and self._may_try_again(run):
             # A long prompt is not read again: that takes more than the client waits.
             limit = STALL_SHARE * max(
                 patience_s(call.route.gap_target_s),
@@ -214,6 +233,13 @@
         finally:
             opened.close()
 
+    def _may_try_again(self, run: _Run) -> bool:
+        """Return whether a run that falls silent could go on at another engine."""
+        fleet, progress = self._forwarder.fleet, run.progress
+        if not progress.may_repeat or progress.sent + 1 >= progress.max_attempts:
+            return False
+        return fleet.budget(run.call.service).has(fleet.now())
+
     def _helpers(
         self,
         placement: PromptPlacement,
@@ -250,8 +276,10 @@
         while True:
             now = fleet.now()
             if is_writing:
-                limit = stall
-                if fleet.is_doubtful(main):
+                # Without a further try, silence is no reason to end an answer.
+                may_try = self._may_try_again(run)
+                limit = stall if may_try else call.deadline_at - now
+                if may_try and fleet.is_doubtful(main):
                     explained = fleet.pause_s(main, run.model)
                     limit = min(limit, explained + DOUBTFUL_STALL_S)
             else:
--- a/packages/dandelionpond/src/dandelionpond/entry/sync.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/sync.py
@@ -7,7 +7,7 @@
 
 from dandelionpond.entry.fleet import Fleet
 from dandelionpond.errors import Failure
-from dandelionpond.mesh.messages import Beat
+from dandelionpond.mesh.messages import MS, Beat
 from dandelionpond.peer.settings import PeerSettings
 from dandelionpond.peer.snapshots import fetch_snapshot
 from dandelionpond.published.messages import Snapshot
@@ -59,9 +59,9 @@
     def heard(self, beat: Beat) -> None:
         """Learn from a beat whether its sender knows something newer."""
         fleet, keeper = self._fleet, self._fleet.keeper
-        if beat.list_age_s < 0 or not beat.fetch_address:
+        if beat.list_age_ms < 0 or not beat.fetch_address:
             return
-        read_at = fleet.now() - beat.list_age_s
+        read_at = fleet.now() - beat.list_age_ms / MS
         is_newer = beat.list_revision > keeper.revision or beat.version > keeper.version
         if beat.list_revision >= keeper.revision and keeper.confirm(
             beat.list_revision, beat.digest, read_at
--- a/packages/dandelionpond/src/dandelionpond/mesh/messages.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/messages.py
@@ -1,15 +1,35 @@
 """Define the datagram between nodes."""
 
+from collections.abc import Iterable
+
 import msgspec
 
-from dandelionpond.placement.jobs import Job
+from dandelionpond.placement.jobs import Job, Phase
+
+MS = 1000
+# Values of jobs travel as whole numbers of this many parts.
+VALUE_PARTS = 10
+
 
+class WireJob(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
+    """Carry a job in few bytes: whole milliseconds and tenths of a value."""
 
-class Beat(msgspec.Struct, frozen=True, array_like=True):
+    instance: str
+    phase: Phase
+    age_ms: int
+    read_ms: int = 0
+    context_tokens: int = 0
+    memory_tokens: int = 0
+    gap_target_ms: int = 0
+    value: int = VALUE_PARTS
+    is_late: bool = False
+
+
+class Beat(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
     """Tell peers that a node lives, what it knows and what it has outstanding.
 
     `started_ms` and `sequence` order the beats of one node: a new incarnation starts
-    later. `list_age_s` is the age of the list of upstreams, negative before the first.
+    later. `list_age_ms` is the age of the list of upstreams, negative before the first.
     `peers` holds addresses of some nodes that the sender hears. `wants_answer` asks for
     a beat in return at once.
     """
@@ -22,10 +42,10 @@
     list_revision: int
     digest: int
     version: int
-    list_age_s: float
-    jobs: tuple[Job, ...] = ()
-    peers: tuple[str, ...] = ()
+    list_age_ms: int
+    jobs: tuple[WireJob, ...] = ()
     fetch_address: str = ""
+    peers: tuple[str, ...] = ()
     wants_answer: bool = False
 
 
@@ -41,3 +61,39 @@
 def decode(data: bytes) -> Beat:
     """Return the beat in a datagram; raise `msgspec.MsgspecError` if it is none."""
     return _decoder.decode(data)
+
+
+def pack(jobs: Iterable[Job]) -> tuple[WireJob, ...]:
+    """Return jobs in the form that travels."""
+    return tuple(
+        WireJob(
+            job.instance,
+            job.phase,
+            round(job.age_s * MS),
+            round(job.read_s * MS),
+            job.context_tokens,
+            job.memory_tokens,
+            round(job.gap_target_s * MS),
+            round(job.value * VALUE_PARTS),
+            job.is_late,
+        )
+        for job in jobs
+    )
+
+
+def unpack(jobs: Iterable[WireJob]) -> tuple[Job, ...]:
+    """Return jobs as the node keeps them."""
+    return tuple(
+        Job(
+            job.instance,
+            job.phase,
+            job.age_ms / MS,
+            job.read_ms / MS,
+            job.context_tokens,
+            job.memory_tokens,
+            job.gap_target_ms / MS,
+            job.value / VALUE_PARTS,
+            job.is_late,
+        )
+        for job in jobs
+    )
--- a/packages/dandelionpond/src/dandelionpond/mesh/tests/test_peers.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/tests/test_peers.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from dandelionpond.mesh.messages import Beat, decode, encode
+from dandelionpond.mesh.messages import Beat, decode, encode, pack, unpack
 from dandelionpond.mesh.peers import (
     BEAT_S,
     FORGET_S,
@@ -19,7 +19,7 @@
 
 
 def beat(node="n", started_ms=5, sequence=1, domain="a", **fields):
-    return Beat(node, started_ms, sequence, domain, False, 0, 0, 0, -1.0, **fields)
+    return Beat(node, started_ms, sequence, domain, False, 0, 0, 0, -1, **fields)
 
 
 def book(*seeds):
@@ -29,8 +29,18 @@
 class TestBeat:
     def test_survives_the_wire(self):
         """Guard against a datagram that peers cannot read."""
-        sent = beat(jobs=(Job("e", Phase.READING, 0.1, 0.2),), peers=("x:1",))
+        jobs = (
+            Job("e", Phase.READING, -0.25, 0.2, 5_000, 6_000, 0.25, 1.6, True),
+            Job("f", Phase.HELPING, 0.1, 0.2),
+        )
+        sent = beat(jobs=pack(jobs), peers=("x:1",))
         assert decode(encode(sent)) == sent
+        assert unpack(sent.jobs) == jobs
+
+    def test_news_is_small(self):
+        """Guard against datagrams that make up most bytes between domains."""
+        jobs = [Job("i-82b60f5048", Phase.HELPING, 0.123, 0.456) for _ in range(16)]
+        assert len(encode(beat(jobs=pack(jobs)))) < 16 * 30 + 60
 
     @pytest.mark.parametrize("data", [b"", b"\x00", b"x" * 40, b"\x93\x01\x02\x03"])
     def test_garbage_is_refused(self, data):
--- a/packages/dandelionpond/src/dandelionpond/placement/choice.py
+++ b/packages/dandelionpond/src/dandelionpond/placement/choice.py
@@ -22,8 +22,8 @@
 # Share of a target at which the risk of missing it begins, and at which it is certain.
 RISK_FROM = 0.55
 RISK_TO = 1.1
-# Parts into which a prompt may be split; engines take 16 entries of helpers, one of them
-# for memory that the main engine reserved.
+# Parts into which a prompt may be split; engines take 16 entries of helpers, one of
+# them for memory that the main engine reserved.
 PART_COUNTS = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 16)
 # Clients of streams give up after this many times the target of their pauses, and not
 # before the minimum in seconds.
@@ -38,6 +38,8 @@
 TIME_COST = 0.1
 # Cost of one helper: a further engine whose failure delays the prompt.
 HELPER_COST = 0.03
+# Cost of a second in which an engine waits until the others of a prompt are free.
+IDLE_COST = 4.0
 # Reading time in seconds from which a prompt counts as long.
 LONG_READ_S = 0.12
 # Tokens whose prompt is worth twice a very short one.
@@ -300,6 +302,7 @@
     helpers = tuple(one.engine.instance for one in chosen[1:])
     cost = prompt.value * first_event_loss(finish, prompt.target_s) + harm
     cost += HELPER_COST * len(helpers) + TIME_COST * finish
+    cost += IDLE_COST * sum(wait - one.wait_s for one in chosen)
     main = chosen[0].engine.instance
     start = wait if helpers else 0.0
     return PromptPlacement(main, helpers, finish, part_s, cost, reserved, start)
--- a/packages/dandelionpond/src/dandelionpond/placement/jobs.py
+++ b/packages/dandelionpond/src/dandelionpond/placement/jobs.py
@@ -9,6 +9,10 @@
 
 import msgspec
 
+# Part of a read that counts as left while its engine has not said that it is done:
+# predictions are that much too short.
+RESIDUAL_SHARE = 0.05
+
 # Work of a peer that has been silent for this many seconds no longer counts: the peer
 # has stopped and its connections have ended, or it is cut off.
 PEER_WORK_TTL_S = 2.5
@@ -24,7 +28,7 @@
     HOLDING = 4
 
 
-class Job(msgspec.Struct, frozen=True, array_like=True):
+class Job(msgspec.Struct, frozen=True):
     """Describe the work that one request has on one upstream.
 
     `read_s` is the time to read the prompt's part on an idle engine. `value` weighs the
@@ -100,8 +104,9 @@
 
     def start(self, request: str, jobs: Iterable[Job], now: float) -> None:
         """Replace what a request of this node has outstanding."""
-        self._own[request] = [_Held(job, now - job.age_s) for job in jobs]
-        self._changed()
+        held = [_Held(job, now - job.age_s) for job in jobs]
+        self._own[request] = held
+        self._changed(held)
 
     def write(self, request: str) -> None:
         """Learn that a request's prompt is read: helpers are done, writing begins."""
@@ -113,7 +118,7 @@
             for one in held
             if (phase := _phase_after_reading(one.job)) is not None
         ]
-        self._changed()
+        self._changed(held)
 
     def miss(self, request: str) -> None:
         """Learn that a request has missed its target."""
@@ -124,12 +129,13 @@
             _Held(msgspec.structs.replace(one.job, is_late=True), one.started_at)
             for one in held
         ]
-        self._changed()
+        self._index = None
 
     def end(self, request: str) -> None:
         """Learn that a request has nothing outstanding any more."""
-        if self._own.pop(request, None) is not None:
-            self._changed()
+        held = self._own.pop(request, None)
+        if held is not None:
+            self._changed(held)
 
     def own_jobs(self, now: float) -> tuple[Job, ...]:
         """Return this node's jobs with their present ages, for peers."""
@@ -162,10 +168,27 @@
             return IDLE
         return _sum_up(held, now)
 
-    def _changed(self) -> None:
+    def is_first(self, request: str, now: float) -> bool:
+        """Return whether nothing that began before a request is still read.
+
+        Only the engines of the request count, and only work that has been sent.
+        """
+        own = self._own.get(request, [])
+        index = self._indexed()
+        return not any(
+            other.started_at < mine.started_at
+            and other.started_at <= now
+            and other.job.phase in (Phase.READING, Phase.HELPING)
+            for mine in own
+            for other in index.get(mine.job.instance, ())
+        )
+
+    def _changed(self, held: list[_Held]) -> None:
         self._index = None
-        self.changes += 1
-        self.on_change()
+        # Plain calls are over before news of them would help.
+        if any(one.job.phase is not Phase.CALLING for one in held):
+            self.changes += 1
+            self.on_change()
 
     def _indexed(self) -> dict[str, list[_Held]]:
         if self._index is None:
@@ -199,7 +222,7 @@
 
 def _sum_up(held: list[_Held], now: float) -> Load:
     requests = helping = context = memory = 0
-    backlog, last = 0.0, held[0].started_at
+    backlog, residual, last = 0.0, 0.0, held[0].started_at
     writers = []
     for one in held:
         job = one.job
@@ -216,5 +239,6 @@
             # Reads are worked off one after the other from the first one's start.
             backlog = max(0.0, backlog - (one.started_at - last)) + job.read_s
             last = one.started_at
-    backlog = max(0.0, backlog - (now - last))
+            residual = max(residual, RESIDUAL_SHARE * job.read_s)
+    backlog = max(residual, backlog - (now - last))
     return Load(requests, helping, context, backlog, memory, tuple(writers))
--- a/packages/dandelionpond/src/dandelionpond/placement/tests/test_jobs.py
+++ b/packages/dandelionpond/src/dandelionpond/placement/tests/test_jobs.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from dandelionpond.placement.jobs import PEER_WORK_TTL_S, Job, JobBook, Phase
+from dandelionpond.placement.jobs import (
+    PEER_WORK_TTL_S,
+    RESIDUAL_SHARE,
+    Job,
+    JobBook,
+    Phase,
+)
 
 READING, WRITING = Phase.READING, Phase.WRITING
 
@@ -19,8 +25,32 @@
         book.start("b", [reading(read_s=0.2)], 0.1)
         assert book.load("e", 0.1).backlog_s == pytest.approx(0.5)
         assert book.load("e", 0.4).backlog_s == pytest.approx(0.2)
+
+    def test_read_that_should_be_over_leaves_a_rest(self):
+        """Guard against parts that are starved of their last chunk by newer ones."""
+        book = JobBook()
+        book.start("a", [reading(read_s=0.4)], 0.0)
+        assert book.load("e", 2.0).backlog_s == pytest.approx(RESIDUAL_SHARE * 0.4)
+        book.write("a")
         assert book.load("e", 2.0).backlog_s == 0.0
 
+    def test_planned_read_counts_from_its_start(self):
+        """Guard against two prompts that are held for the same engine."""
+        book = JobBook()
+        book.start("a", [reading(read_s=0.4)], 0.0)
+        book.start("b", [reading(read_s=0.5, age_s=-0.4)], 0.0)
+        assert book.load("e", 0.0).backlog_s == pytest.approx(0.9)
+
+    def test_only_the_oldest_read_is_first(self):
+        """Guard against a part that is sent while an earlier one is read."""
+        book = JobBook()
+        book.start("a", [reading()], 0.0)
+        book.start("b", [reading(age_s=-0.1)], 0.0)
+        assert book.is_first("a", 0.2)
+        assert not book.is_first("b", 0.2)
+        book.write("a")
+        assert book.is_first("b", 0.2)
+
     def test_idle_time_is_not_saved(self):
         """Guard against an idle pause that hides later reading."""
         book = JobBook()
