Test the adapter, the exchange and the node against stand-ins of the platform

The table of faults found that a complete answer followed by bytes that are no answer was taken for broken, because the client library refuses the whole read; what is beyond the stated length is now dropped first.

--- a/packages/dandelionpond/src/dandelionpond/entry/exchange.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/exchange.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import functools
+import math
+import re
 import socket
 from typing import Any
 
@@ -30,6 +32,10 @@
 _NO_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
+_HEAD_END = b"\r\n\r\n"
+_LENGTH = re.compile(rb"\r\ncontent-length:[ \t]*(\d+)[ \t]*\r\n", re.IGNORECASE)
+
+
 class ExchangeError(Exception):
     """Carry the outcome of an exchange that failed."""
 
@@ -39,11 +45,36 @@
 
 
 class _Handler(ResponseHandler):
-    """Remember whether a connection ended with an error."""
+    """Remember whether a connection ended with an error; drop bytes behind a body.
+
+    The library refuses a complete answer if bytes that are no answer follow it.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.was_reset = False
+        self._head = b""
+        # Bytes of the body that are still due; None while the head is read.
+        self._due: float | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Pass on what belongs to the answer."""
+        if self._due is None:
+            self._head += data
+            end = self._head.find(_HEAD_END)
+            if end >= 0:
+                length = _LENGTH.search(self._head, 0, end + 2)
+                due = float(length[1]) if length else math.inf
+                surplus = len(self._head) - end - len(_HEAD_END) - due
+                if surplus > 0:
+                    data = data[: len(data) - int(surplus)]
+                self._due = max(0.0, -surplus)
+                self._head = b""
+        else:
+            data = data if len(data) <= self._due else data[: int(self._due)]
+            self._due -= len(data)
+        if data:
+            super().data_received(data)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record a reset: the library takes it for the end of an unframed body."""
--- /dev/null
+++ b/tests/platform_adapter/platform_stubs.py
@@ -0,0 +1,214 @@
+"""Stand in for the platform's store and for workers, by their published protocol."""
+
+import asyncio
+import base64
+import json
+
+from aiohttp import web
+
+ROUTES = (
+    ("call", "/call/", "idempotent", {"MaxAttempts": 2}),
+    ("pay", "/pay/", "non_idempotent", {"MaxAttempts": 2}),
+    ("chat", "/chat/", "stream", {"MaxAttempts": 2, "Resumable": True}),
+)
+ENGINE = {
+    "Slots": 8,
+    "KvCacheTokens": 315000,
+    "Stride": 51,
+    "step_ms": 0.85,
+    "read_per_s": 177000.0,
+    "pairs_per_m": 0.184,
+}
+
+
+def config(version, keys=("k1",), routes=ROUTES):
+    return {
+        "Version": version,
+        "Routes": [
+            {
+                "Name": name,
+                "Host": "a.example",
+                "Prefix": prefix,
+                "RouteType": kind,
+                "TimeoutMs": 5000,
+                "TargetLatencyMs": 300,
+                "GapAimMs": 250,
+                "Service": "llm" if kind == "stream" else "app",
+                **more,
+            }
+            for name, prefix, kind, more in routes
+        ],
+        "Services": [{"Name": "llm", "Engine": ENGINE}, {"Name": "app"}],
+        "Tenants": [{"Name": "shop", "ApiKeys": list(keys)}],
+    }
+
+
+class StubStore:
+    """Answer reads; `fault` makes calls fail, `is_muted` makes watches hear nothing."""
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 1
+        self.dropped_before = 0
+        self.fault = None
+        self.is_muted = False
+        self.calls = []
+
+    def put(self, key, value):
+        self.revision += 1
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.items[key] = (self.revision, base64.b64encode(data).decode())
+
+    def remove(self, key):
+        self.revision += 1
+        del self.items[key]
+
+    def drop_history(self):
+        self.dropped_before = self.revision
+
+    async def start(self):
+        app = web.Application()
+        app.router.add_get("/dandelionpond/{call}", self._answer)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        self.address = "127.0.0.1:%d" % self._runner.addresses[0][1]  # noqa: UP031
+
+    async def stop(self):
+        await self._runner.cleanup()
+
+    async def _answer(self, request):
+        call, query = request.match_info["call"], request.query
+        self.calls.append(call)
+        if self.fault == "silent":
+            await asyncio.sleep(30)
+        if self.fault == "garbage":
+            return web.Response(body=b"\x00{")
+        if isinstance(self.fault, int):
+            return web.Response(status=self.fault)
+        if call == "kv-key":
+            if query["Key"] not in self.items:
+                return web.Response(status=404)
+            return web.json_response(self._item(query["Key"]))
+        if call == "kv-range":
+            found = [
+                key for key in sorted(self.items) if key.startswith(query["Prefix"])
+            ]
+            return web.json_response(
+                {
+                    "Items": [self._item(key) for key in found],
+                    "HasMore": False,
+                    "StoreRevision": self.revision,
+                }
+            )
+        after = int(query["After"])
+        if after < self.dropped_before:
+            return web.Response(status=410)
+        events = [
+            self._item(key)
+            for key, (revision, _) in self.items.items()
+            if key.startswith(query["Prefix"]) and revision > after
+        ]
+        if self.is_muted:
+            events = []
+        return web.json_response({"events": events, "StoreRevision": self.revision})
+
+    def _item(self, key):
+        revision, value = self.items[key]
+        return {
+            "Key": key,
+            "Value": value,
+            "Revision": revision,
+            "CreateRevision": 1,
+            "Lease": 0,
+            "StoreRevision": self.revision,
+        }
+
+
+class StubWorker:
+    """Run requests; `plan` names what happens to each, the last entry for the rest."""
+
+    def __init__(self, instance, service, plan=("ok",), events=6):
+        self.instance = instance
+        self.service = service
+        self.plan = list(plan)
+        self.events = events
+        self.requests = []
+        self.runs = []
+        self.left = asyncio.Event()
+
+    async def start(self):
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", self._answer)
+        self._runner = web.AppRunner(
+            app, handler_cancellation=True, shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        self.address = "127.0.0.1:%d" % self._runner.addresses[0][1]  # noqa: UP031
+
+    async def stop(self):
+        await self._runner.cleanup()
+
+    def entry(self, state="ready"):
+        return {
+            "Service": self.service,
+            "Address": self.address,
+            "Zone": "a",
+            "State": state,
+            "Slots": 8,
+        }
+
+    async def _answer(self, request):
+        body = await request.read()
+        self.requests.append((request.method, request.raw_path, request.headers, body))
+        step = self.plan.pop(0) if len(self.plan) > 1 else self.plan[0]
+        headers = {
+            "Dandelionpond-Attempt-Id": request.headers["Dandelionpond-Attempt-Id"]
+        }
+        if step == "full":
+            headers["Dandelionpond-Not-Executed"] = "1"
+            return web.Response(status=503, headers=headers)
+        self.runs.append(request.headers["Dandelionpond-Attempt-Id"])
+        if step == "reset":
+            request.transport.abort()
+            return web.Response()
+        if step == "slow":
+            try:
+                await asyncio.sleep(30)
+            except asyncio.CancelledError:
+                self.left.set()
+                raise
+        headers["Dandelionpond-Server-Stamp"] = f"stamp-{self.instance}"
+        if step == "error":
+            return web.Response(status=500, headers=headers, body=b"failed")
+        if step == "unstamped":
+            del headers["Dandelionpond-Server-Stamp"]
+        if step == "other id":
+            headers["Dandelionpond-Attempt-Id"] = "other"
+        if step == "encoded":
+            headers["Content-Encoding"] = "gzip"
+        if self.service == "app":
+            return web.Response(
+                headers=headers, body=b"answer of " + self.instance.encode()
+            )
+        return await self._stream(request, headers, step)
+
+    async def _stream(self, request, headers, step):
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", 0)) + 1
+        for number in range(first, self.events + 1):
+            event = b"id: %d\ndata: x\n\n" % number
+            if step == "break" and number == first + 2:
+                await response.write(event[:5])
+                await asyncio.sleep(0.05)
+                request.transport.abort()
+                return response
+            await response.write(event)
+            await asyncio.sleep(0.005)
+        await response.write_eof()
+        return response
--- /dev/null
+++ b/tests/platform_adapter/test_documents.py
@@ -0,0 +1,123 @@
+"""Test what the operator and the workers write."""
+
+import json
+
+import msgspec
+import pytest
+
+from dandelionpond.published.messages import RouteKind, UpstreamState
+from dandelionpond_platform.documents import decode_document, decode_worker
+
+CONFIG = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r1",
+            "Host": "a.example",
+            "Prefix": "/x/",
+            "RouteType": "stream",
+            "TimeoutMs": 10000,
+            "TargetLatencyMs": 300,
+            "Priority": 1,
+            "TrafficSplit": [{"Service": "s", "Weight": 90}],
+            "MaxAttempts": 2,
+            "Public": False,
+            "Resumable": True,
+            "GapAimMs": 250,
+        },
+        {
+            "Name": "r2",
+            "Host": "a.example",
+            "Prefix": "/y/",
+            "RouteType": "non_idempotent",
+            "TimeoutMs": 800,
+            "Service": "t",
+        },
+    ],
+    "Services": [
+        {
+            "Name": "s",
+            "MaxConnections": 909,
+            "Engine": {
+                "Slots": 8,
+                "KvCacheTokens": 315000,
+                "Stride": 51,
+                "step_ms": 0.85,
+                "per_seq_ms": 0.0085,
+                "context_per_k": 0.00285,
+                "read_per_s": 177000.0,
+                "pairs_per_m": 0.184,
+            },
+        },
+        {"Name": "t", "NewField": [1]},
+    ],
+    "Limits": {"IdleTimeoutMs": 15000},
+    "Tenants": [{"Name": "shop", "ApiKeys": ["k"], "Priority": 1}],
+}
+WORKER = {
+    "Service": "s",
+    "Address": "10.1.0.9:8080",
+    "Zone": "dar-a",
+    "State": "ready",
+    "Slots": 8,
+    "born": 1700000000000,
+}
+
+
+class TestDocument:
+    def test_units(self):
+        """Guard against milliseconds taken for seconds, and tokens for thousands."""
+        document = decode_document(json.dumps(CONFIG).encode())
+        stream, call = document.routes
+        assert (stream.timeout_s, stream.target_s, stream.gap_target_s) == (
+            10.0,
+            0.3,
+            0.25,
+        )
+        assert stream.kind is RouteKind.STREAM and stream.may_repeat
+        assert call.splits[0].service == "t" and not call.may_repeat
+        engine = document.services[0].engine
+        assert engine.step_s == pytest.approx(0.00085)
+        assert engine.per_context_token_s == pytest.approx(0.00285e-6)
+        assert engine.per_pair_s == pytest.approx(0.184e-9)
+        assert document.limits.idle_timeout_s == 15.0
+        assert document.accounts[0].keys == ("k",)
+
+    @pytest.mark.parametrize(
+        "data", [b"", b"{}", b"[]", b"\xff", b'{"Version": "7", "Routes": []}']
+    )
+    def test_unreadable(self, data):
+        """Guard against a half-read document that takes routes away."""
+        with pytest.raises(msgspec.MsgspecError):
+            decode_document(data)
+
+
+class TestWorker:
+    def test_entry(self):
+        """Guard against an upstream that is taken for ready while it leaves."""
+        entry = decode_worker("i-1", json.dumps(WORKER).encode())
+        assert entry.instance == "i-1" and entry.started_ms == 1700000000000
+        leaving = decode_worker(
+            "i-1", json.dumps({**WORKER, "State": "draining"}).encode()
+        )
+        assert leaving.state is UpstreamState.LEAVING
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"State": "resting"},
+            {"Service": 7},
+            {"Address": "nowhere"},
+            {"Address": None},
+            {"Slots": "8"},
+            {"Zone": []},
+        ],
+    )
+    def test_entry_of_another_writer_names_no_worker(self, change):
+        """Guard against work that is sent to what is no worker."""
+        assert decode_worker("i", json.dumps({**WORKER, **change}).encode()) is None
+
+    @pytest.mark.parametrize("data", [b"", b"\x00\xff", b"7", b"null"])
+    def test_bytes_that_cannot_be_read(self, data):
+        """Guard against one bad entry that hides all others."""
+        assert decode_worker("i", data) is None
--- /dev/null
+++ b/tests/platform_adapter/test_node.py
@@ -0,0 +1,331 @@
+"""Test the node between a client, the store and workers, by their protocol."""
+
+import asyncio
+import contextlib
+import socket
+
+import aiohttp
+import pytest
+from platform_stubs import ROUTES, StubStore, StubWorker, config
+
+from dandelionpond.clock import SystemClock
+from dandelionpond.entry.process import EntryProcess
+from dandelionpond.entry.settings import EntrySettings
+from dandelionpond.forwarding.budget import BudgetSettings
+from dandelionpond_platform.headers import PlatformDialect
+from dandelionpond_platform.orders import WorkerOrders
+from dandelionpond_platform.store import PlatformStore
+
+# Time in seconds in which something must happen at all; no bound of the product.
+PATIENCE_S = 20.0
+
+
+def free_ports(count):
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in sockets]
+
+
+def entry_settings(name, store_address, seeds=()):
+    front, ready, metrics, mesh, fetch = free_ports(5)
+    return EntrySettings(
+        name=name,
+        failure_domain="a",
+        front_address=f"127.0.0.1:{front}",
+        ready_address=f"127.0.0.1:{ready}",
+        metrics_address=f"127.0.0.1:{metrics}",
+        mesh_address=f"127.0.0.1:{mesh}",
+        fetch_address=f"127.0.0.1:{fetch}",
+        store_address=store_address,
+        seeds=tuple(seeds),
+        grace_s=8.0,
+        budget=BudgetSettings(),
+    )
+
+
+class Site:
+    """Run one node, a store and workers on loopback."""
+
+    def __init__(self, *workers):
+        self.store = StubStore()
+        self.workers = workers
+        self._nodes = []
+
+    async def __aenter__(self):
+        await self.store.start()
+        self.store.put("op/config", config(1))
+        for worker in self.workers:
+            await worker.start()
+            self.store.put(f"servers/{worker.instance}", worker.entry())
+        self.settings, self.node = await self.start_node("n1")
+        self.client = aiohttp.ClientSession(auto_decompress=False)
+        return self
+
+    async def __aexit__(self, *_):
+        await self.client.close()
+        for node in self._nodes:
+            node.terminate()
+            node._exit.done() or node._exit.set_result(0)
+            await node.wait()
+        for worker in self.workers:
+            await worker.stop()
+        await self.store.stop()
+
+    async def start_node(self, name, store_address=None, seeds=()):
+        settings = entry_settings(name, store_address or self.store.address, seeds)
+        node = EntryProcess(
+            settings,
+            PlatformDialect(),
+            PlatformStore(settings.store_address),
+            WorkerOrders(),
+            SystemClock(),
+        )
+        self._nodes.append(node)
+        await node.start()
+        if store_address is None:
+            await self.until(lambda: self.is_ready(settings))
+        return settings, node
+
+    async def is_ready(self, settings):
+        url = f"http://{settings.ready_address}/dandelionpond/ready"
+        async with aiohttp.ClientSession() as client, client.get(url) as answer:
+            return answer.status == 200
+
+    async def until(self, condition):
+        async with asyncio.timeout(PATIENCE_S):
+            while not await condition():  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+
+    def request(self, path, method="POST", settings=None, **headers):
+        sent = {
+            "Host": "a.example",
+            "Dandelionpond-Attempt-Id": "id1",
+            "Dandelionpond-Deadline-Ms": "4000",
+            "Dandelionpond-Key": "k1",
+        }
+        sent.update({name.replace("_", "-"): value for name, value in headers.items()})
+        address = (settings or self.settings).front_address
+        return self.client.request(
+            method, f"http://{address}{path}", headers=sent, data=b"body"
+        )
+
+    async def ask(self, path, **fields):
+        async with self.request(path, **fields) as answer:
+            return answer.status, answer.headers, await answer.read()
+
+
+def on_site(test, *workers):
+    async def run():
+        async with Site(*workers) as site:
+            await test(site)
+
+    asyncio.run(run())
+
+
+def app(instance="w1", *plan):
+    return StubWorker(instance, "app", plan or ("ok",))
+
+
+def llm(instance="e1", *plan):
+    return StubWorker(instance, "llm", plan or ("ok",))
+
+
+class TestForwarding:
+    def test_request_and_answer_are_unchanged(self):
+        """Guard against a changed path, body or answer."""
+        worker = app()
+
+        async def test(site):
+            status, headers, body = await site.ask("/call/x%2Fy?a=%20b")
+            assert (status, body) == (200, b"answer of w1")
+            assert headers["Dandelionpond-Server-Stamp"] == "stamp-w1"
+            method, path, sent, received = worker.requests[0]
+            assert (method, path, received) == ("POST", "/call/x%2Fy?a=%20b", b"body")
+            assert sent["Dandelionpond-Tenant"] == "shop"
+            assert "Dandelionpond-Key" not in sent
+            assert 0 < int(sent["Dandelionpond-Deadline-Ms"]) <= 4000
+
+        on_site(test, worker)
+
+    @pytest.mark.parametrize(
+        ("path", "headers", "expected"),
+        [
+            ("/none/", {}, 404),
+            ("/call/", {"Host": "b.example"}, 404),
+            ("/call/", {"Dandelionpond_Key": "wrong"}, 401),
+        ],
+    )
+    def test_what_the_configuration_does_not_allow(self, path, headers, expected):
+        """Guard against requests that run without a route or a key."""
+        worker = app()
+
+        async def test(site):
+            assert (await site.ask(path, **headers))[0] == expected
+            assert worker.requests == []
+
+        on_site(test, worker)
+
+
+class TestAttempts:
+    @pytest.mark.parametrize(
+        "fault", ["reset", "full", "error", "unstamped", "other id"]
+    )
+    def test_call_that_may_be_repeated_succeeds_elsewhere(self, fault):
+        """Guard against a failure that a second worker would mend."""
+        workers = app("w1", fault), app("w2", fault, "ok"), app("w3")
+
+        async def test(site):
+            # The first worker is chosen at random among equals.
+            for number in range(6):
+                status, _, body = await site.ask(
+                    "/call/", Dandelionpond_Attempt_Id=f"id{number}"
+                )
+                assert status in (200, 500 if fault == "error" else 200)
+                assert body.startswith((b"answer of", b"failed"))
+
+        on_site(test, workers[0], workers[2])
+
+    @pytest.mark.parametrize(
+        ("fault", "expected"),
+        [("reset", 502), ("error", 500), ("unstamped", 502), ("encoded", 502)],
+    )
+    def test_payment_runs_once(self, fault, expected):
+        """Guard against a payment that is sent twice after it may have run."""
+        workers = app("w1", fault), app("w2", fault)
+
+        async def test(site):
+            status, headers, _ = await site.ask("/pay/")
+            assert status == expected
+            assert sum(len(worker.runs) for worker in workers) == 1
+            assert "Retry-After" not in headers
+
+        on_site(test, *workers)
+
+    def test_payment_that_was_not_run_is_promised(self):
+        """Guard against a 502 that keeps a client from trying again."""
+        workers = app("w1", "full"), app("w2", "full")
+
+        async def test(site):
+            status, headers, _ = await site.ask("/pay/")
+            assert status == 503
+            assert float(headers["Retry-After"]) > 0
+            assert sum(len(worker.runs) for worker in workers) == 0
+
+        on_site(test, *workers)
+
+
+class TestStreams:
+    def test_broken_stream_goes_on_at_another_engine(self):
+        """Guard against a missing, doubled or cut event after a break."""
+        engines = llm("e1", "break", "ok"), llm("e2")
+        # The first run breaks off, whichever engine gets it.
+        engines[1].plan = engines[0].plan
+
+        async def test(site):
+            status, headers, body = await site.ask(
+                "/chat/", Dandelionpond_Token_Count="100,100"
+            )
+            assert status == 200
+            expected = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, 7))
+            assert body == expected
+            runs = [worker for worker in engines if worker.runs]
+            assert len(runs) == 2
+            assert headers["Dandelionpond-Server-Stamp"].startswith("stamp-e")
+
+        on_site(test, *engines)
+
+    def test_stream_that_cannot_go_on_never_looks_complete(self):
+        """Guard against a cut stream that a client takes for whole."""
+
+        async def test(site):
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await site.ask("/chat/", Dandelionpond_Token_Count="100,100")
+
+        on_site(test, llm("e1", "break"), llm("e2", "break"))
+
+    def test_departure_reaches_the_engine(self):
+        """Guard against work for a client that has gone."""
+        engine = llm("e1", "slow")
+
+        async def test(site):
+            with pytest.raises(asyncio.TimeoutError):
+                async with asyncio.timeout(0.3):
+                    await site.ask("/chat/", Dandelionpond_Token_Count="100,100")
+            async with asyncio.timeout(PATIENCE_S):
+                await engine.left.wait()
+
+        on_site(test, engine)
+
+
+class TestConfiguration:
+    def test_change_comes_into_force(self):
+        """Guard against a node that keeps a dropped route and a revoked key."""
+
+        async def test(site):
+            assert (await site.ask("/call/"))[0] == 200
+            site.store.put("op/config", config(2, ("k2",), ROUTES[1:]))
+
+            async def is_dropped():
+                return (await site.ask("/call/"))[0] == 404
+
+            await site.until(is_dropped)
+            assert (await site.ask("/pay/"))[0] == 401
+            assert (await site.ask("/pay/", Dandelionpond_Key="k2"))[0] == 200
+
+        on_site(test, app())
+
+    def test_node_that_the_store_refuses_learns_from_a_peer(self):
+        """Guard against a node that answers 404 or nothing without the store."""
+
+        async def test(site):
+            refused = StubStore()
+            refused.fault = 429
+            await refused.start()
+            alone, _ = await site.start_node("n2", refused.address)
+            status, headers, _ = await site.ask("/call/", settings=alone)
+            assert status == 503
+            assert float(headers["Retry-After"]) > 0
+            seeds = [site.settings.mesh_address]
+            second, _ = await site.start_node("n3", refused.address, seeds)
+            await site.until(lambda: site.is_ready(second))
+            assert (await site.ask("/call/", settings=second))[0] == 200
+            await refused.stop()
+
+        on_site(test, app())
+
+    def test_leaving_worker_gets_nothing_new(self):
+        """Guard against requests for a worker that is about to end."""
+        leaving, staying = app("w1"), app("w2")
+
+        async def test(site):
+            site.store.put("servers/w1", leaving.entry("draining"))
+            await asyncio.sleep(1.5)
+            leaving.requests.clear()
+            for _ in range(10):
+                assert (await site.ask("/call/"))[0] == 200
+            assert leaving.requests == []
+
+        on_site(test, leaving, staying)
+
+
+class TestShutdown:
+    def test_requests_in_flight_end_and_ready_says_no(self):
+        """Guard against a planned stop that cuts off an answer."""
+        engine = StubWorker("e1", "llm", events=400)
+
+        async def test(site):
+            asked = asyncio.create_task(
+                site.ask("/chat/", Dandelionpond_Token_Count="100,100")
+            )
+            await asyncio.sleep(0.2)
+            site.node.terminate()
+            assert not await site.is_ready(site.settings)
+            status, _, body = await asked
+            assert status == 200
+            assert body.count(b"\n\n") == 400
+            async with asyncio.timeout(PATIENCE_S):
+                assert await asyncio.shield(site.node._exit) == 0
+
+        on_site(test, engine)
--- /dev/null
+++ b/tests/platform_adapter/test_settings.py
@@ -0,0 +1,58 @@
+"""Test the reader of the platform's settings file."""
+
+import pytest
+
+from dandelionpond_platform.settings import SettingsError, read_settings
+
+TEXT = """Node=front-a-1
+Ip=10.1.0.40
+Zone=dar-a
+Listen.Front=10.1.0.40:8227
+Listen.Ready=10.1.0.40:8220
+Listen.Control=10.1.0.40:8229
+InternalPorts=7340,7355
+Seeds=10.1.0.40:8229,10.2.0.29:8229
+Bounds.GraceS=8
+Bounds.RetryBudgetRatio=0.2
+Bounds.BudgetWindowS=10
+Bounds.BudgetSlack=219
+Platform.Address=10.200.1.7:8223
+NewField=ignored
+"""
+
+
+class TestReadSettings:
+    def test_known_fields(self):
+        """Guard against an address that is taken for another one."""
+        settings = read_settings(TEXT)
+        assert settings.name == "front-a-1"
+        assert settings.failure_domain == "dar-a"
+        assert settings.mesh_address == "10.1.0.40:7340"
+        assert settings.fetch_address == "10.1.0.40:8229"
+        assert settings.seeds == ("10.1.0.40:7340", "10.2.0.29:7340")
+        assert settings.budget.slack == 219.0
+        assert (
+            settings.shutdown.balancer_delay_s + (settings.shutdown.drain_timeout_s)
+            < 8.0
+        )
+
+    @pytest.mark.parametrize(
+        ("text", "expected"),
+        [
+            ("", "field Ip is missing"),
+            (TEXT.replace("Zone=dar-a", "Zone="), "field Zone is missing"),
+            (TEXT + "no separator\n", "line 15 has no '='"),
+            (
+                TEXT.replace("GraceS=8", "GraceS=soon"),
+                "field Bounds.GraceS is not a number: 'soon'",
+            ),
+        ],
+    )
+    def test_bad_file_is_named_in_one_line(self, text, expected):
+        """Guard against a start with a traceback in place of the field at fault."""
+        with pytest.raises(SettingsError, match=expected):
+            read_settings(text)
+
+    def test_no_seeds(self):
+        """Guard against an empty address where a role has no seeds."""
+        assert read_settings(TEXT.replace("Seeds=", "Other=")).seeds == ()
