--- a/packages/standins/tests/test_reference.py
+++ b/packages/standins/tests/test_reference.py
@@ -179,7 +179,7 @@
 
 class TestPages:
     @pytest.mark.parametrize(
-        "name", ["guide", "glossary", "operations", "changelog", "reference"]
+        "name", ["guide", "glossary", "OPERATIONS", "changelog", "reference"]
     )
     def test_names_exist(self, name):
         """Guard against pages that name a setting, metric or file that is gone."""
@@ -198,7 +198,7 @@
 
 
 class TestOperations:
-    TEXT = (DOCS / "operations.md").read_text()
+    TEXT = (DOCS / "OPERATIONS.md").read_text()
 
     def test_counters_and_sections(self):
         """Guard against a counter or a section of a dump that nodes do not have."""
