--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,9 @@
 	uv pip compile --quiet --generate-hashes --no-emit-index-url --no-annotate \
 		--no-header --universal --python-version 3.11 requirements.in \
 		-o requirements.lock
+	uv pip compile --quiet --generate-hashes --no-emit-index-url --no-annotate \
+		--no-header --universal --python-version 3.11 -c requirements.lock \
+		deploy/requirements.in -o deploy/requirements.lock
 
 proto: setup
 	$(PYTHON) -m grpc_tools.protoc -I packages/dandelionpond/src \
--- a/tests/platform_adapter/test_node.py
+++ b/tests/platform_adapter/test_node.py
@@ -3,6 +3,9 @@
 import asyncio
 import contextlib
 import socket
+import subprocess
+import sys
+from pathlib import Path
 
 import aiohttp
 import pytest
@@ -329,3 +332,84 @@
                 assert await asyncio.shield(site.node._exit) == 0
 
         on_site(test, engine)
+
+
+class TestExplain:
+    """From the id of a failed request to its cause, as docs/OPERATIONS.md says."""
+
+    def lines_of(self, caplog, request_id):
+        return [
+            record
+            for record in caplog.records
+            if getattr(record, "request_id", None) == request_id
+        ]
+
+    @pytest.mark.parametrize(
+        ("path", "plan", "status", "outcome"),
+        [
+            ("/call/", "full", 503, "rejected 503"),
+            ("/pay/", "reset", 502, "broken"),
+            ("/chat/", "break", 200, "broken"),
+        ],
+        ids=["refused", "unknown payment", "cut off midway"],
+    )
+    def test_last_attempt_names_the_cause(self, caplog, path, plan, status, outcome):
+        """Guard against a complaint that the log cannot explain."""
+        caplog.set_level("INFO", "dandelionpond")
+        engines = llm("e1", plan), llm("e2", plan)
+        workers = app("w1", plan), app("w2", plan)
+
+        async def test(site):
+            with contextlib.suppress(aiohttp.ClientPayloadError):
+                headers = {"Dandelionpond_Token_Count": "100,100"}
+                await site.ask(path, Dandelionpond_Attempt_Id="c0ffee", **headers)
+
+        on_site(test, *engines, *workers)
+        [line] = self.lines_of(caplog, "c0ffee")
+        assert line.message == "request ended"
+        assert line.status == status
+        assert line.attempts[-1]["outcome"].startswith(outcome)
+        assert line.version == 1 and line.list_age_s >= 0
+        assert len(line.attempts) == (1 if path == "/pay/" else 2)
+
+    def test_refused_key_names_the_version(self, caplog):
+        """Guard against a 401 that nobody can place in time."""
+        caplog.set_level("INFO", "dandelionpond")
+
+        async def test(site):
+            await site.ask("/call/", Dandelionpond_Key="wrong")
+
+        on_site(test, app())
+        [line] = self.lines_of(caplog, "id1")
+        assert (line.message, line.kind, line.version) == (
+            "request refused",
+            "invalid_key",
+            1,
+        )
+
+
+class TestSettingsFile:
+    @pytest.mark.parametrize(
+        ("text", "expected"),
+        [(None, "No such file"), ("Node=x\n", "field Ip is missing")],
+    )
+    def test_bad_file_ends_the_process_with_one_line(self, tmp_path, text, expected):
+        """Guard against a traceback, or a node that runs with half of its settings."""
+        path = tmp_path / "local.conf"
+        if text is not None:
+            path.write_text(text)
+        root = Path(__file__).parents[2]
+        done = subprocess.run(
+            [sys.executable, root / "platform" / "run.py", "node"],
+            env={
+                "PYTHONPATH": str(root / "packages" / "dandelionpond" / "src"),
+                "DANDELIONPOND_CONFIG": str(path),
+            },
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+        assert done.returncode != 0
+        assert done.stdout == ""
+        [line] = done.stderr.splitlines()
+        assert line.startswith("dandelionpond: ") and expected in line
