--- a/packages/dandelionpond/src/dandelionpond/entry/attempts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/attempts.py
@@ -135,13 +135,15 @@
     def learn(self, entry: UpstreamEntry, outcome: Outcome) -> None:
         """Tell the fleet what an outcome says about an upstream."""
         match outcome:
-            case NotSent() | Broken() | Silent():
+            case NotSent(is_unreachable=True):
+                self.fleet.failed(entry.instance, is_unreachable=True)
+            case Broken() | Silent():
                 self.fleet.failed(entry.instance)
             case Rejected(at_fault=at_fault) if at_fault is not None:
                 self._blame(entry, at_fault)
             case Rejected(status=421):
                 self.fleet.failed(entry.instance)
-            case Rejected() | Errored():
+            case Rejected() | Errored() | NotSent():
                 pass
 
     async def settle(
@@ -224,7 +226,7 @@
     match outcome:
         case None:
             return "complete"
-        case NotSent(reason):
+        case NotSent(reason=reason):
             return f"not sent: {reason}"
         case Rejected(status, at_fault):
             return f"rejected {status}" + (f" by {at_fault}" if at_fault else "")
--- a/packages/dandelionpond/src/dandelionpond/entry/fleet.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/fleet.py
@@ -1,6 +1,7 @@
 """Hold what a node believes of routes, upstreams, peers and outstanding work."""
 
 import logging
+from collections.abc import Callable
 from random import Random
 
 import msgspec
@@ -76,6 +77,8 @@
         self._budgets: dict[str, RetryShare] = {}
         self._ordered: tuple[int, dict[str, list[UpstreamEntry]]] | None = None
         self._silent: frozenset[str] = frozenset()
+        self._unreachable: frozenset[str] = frozenset()
+        self.on_unreachable: Callable[[], None] | None = None
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
@@ -156,6 +159,7 @@
         """Return whether an upstream failed lately or lies in a silent domain."""
         return (
             self.health.is_avoided(entry.instance, self.now())
+            or entry.instance in self._unreachable
             or entry.failure_domain in self._silent
         )
 
@@ -195,13 +199,29 @@
             return None
         return next(one for one in entries if one.instance == worker.instance)
 
-    def failed(self, instance: str) -> None:
+    def failed(self, instance: str, is_unreachable: bool = False) -> None:
         """Learn that an upstream did not answer as it should."""
         now = self.now()
         was_avoided = self.health.is_avoided(instance, now)
-        self.health.hear(Failed(instance, now))
-        if not was_avoided:
-            log.info("upstream avoided", extra={"upstream": instance})
+        self.health.hear(Failed(instance, now, is_unreachable))
+        if was_avoided:
+            return
+        log.info(
+            "upstream avoided",
+            extra={"upstream": instance, "unreachable": is_unreachable},
+        )
+        if is_unreachable and self.on_unreachable is not None:
+            self.on_unreachable()
+
+    def heard(self) -> None:
+        """Learn that a peer told something."""
+        unreachable = self.peers.unreachable(self.settings.failure_domain, self.now())
+        if unreachable != self._unreachable:
+            log.info(
+                "peers cannot reach upstreams",
+                extra={"now": sorted(unreachable)[:20]},
+            )
+            self._unreachable = unreachable
 
     def answered(self, instance: str, took_s: float, expected_s: float) -> None:
         """Learn how long an upstream took to answer."""
@@ -220,6 +240,7 @@
         """Refresh what depends on the silence of peers."""
         now = self.now()
         self.jobs.expire(now)
+        self.heard()
         nodes = len(self.peers.live(now)) + 1
         for share in self._budgets.values():
             share.set_nodes(nodes)
--- a/packages/dandelionpond/src/dandelionpond/entry/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/prompts.py
@@ -192,7 +192,7 @@
         group = f"{run.call.head.request_id}-{sent}"
         try:
             if not await self._groups.reserve(group, placement.reserved, entries):
-                return Attempt(NotSent("memory could not be reserved"))
+                return Attempt(NotSent("memory could not be reserved", False))
             return await self._exchange(run, placement, entries, group)
         finally:
             self._groups.finish(group)
--- a/packages/dandelionpond/src/dandelionpond/forwarding/messages.py
+++ b/packages/dandelionpond/src/dandelionpond/forwarding/messages.py
@@ -92,9 +92,14 @@
 
 
 class NotSent(msgspec.Struct, frozen=True, tag=True):
-    """No byte of the request was written: the connection could not be opened."""
+    """No byte of the request was written.
+
+    `is_unreachable` says that the connection could not be opened; otherwise the reason
+    lies before it.
+    """
 
     reason: str
+    is_unreachable: bool = True
 
 
 class Rejected(msgspec.Struct, frozen=True, tag=True):
--- a/packages/dandelionpond/src/dandelionpond/mesh/peers.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/peers.py
@@ -150,6 +150,24 @@
         silent = frozenset(d for d, at in heard.items() if now - at > silence_s)
         return frozenset() if len(silent) == len(heard) else silent
 
+    def unreachable(self, own_domain: str, now: float) -> frozenset[str]:
+        """Return upstreams that live peers cannot connect to.
+
+        One peer of the own failure domain is enough, or two of others: a single node's
+        own path may be cut.
+        """
+        near: set[str] = set()
+        once: set[str] = set()
+        for peer in self.live(now):
+            assert peer.beat is not None
+            names = set(peer.beat.unreachable)
+            if peer.beat.failure_domain == own_domain:
+                near |= names
+            else:
+                near |= once & names
+                once |= names
+        return frozenset(near)
+
     def _add(self, address: str) -> Peer | None:
         if address == self._address:
             return None
--- a/packages/dandelionpond/src/dandelionpond/mesh/tests/test_peers.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/tests/test_peers.py
@@ -113,3 +113,22 @@
         peers.hear("a:1", beat("a1", domain="a"), 0.0)
         peers.hear("b:1", beat("b1", domain="b"), 0.0)
         assert peers.silent_domains(9.0, 1.6) == frozenset()
+
+
+class TestUnreachable:
+    """The pattern of engines that are taken away while the platform is down."""
+
+    def test_one_near_peer_or_two_others(self):
+        """Guard against each node that waits for each dead upstream by itself."""
+        peers = book()
+        peers.hear("a:1", beat("a1", unreachable=("x",)), 0.0)
+        peers.hear("b:1", beat("b1", domain="b", unreachable=("y", "z")), 0.0)
+        assert peers.unreachable("a", 0.1) == frozenset({"x"})
+        peers.hear("c:1", beat("c1", domain="c", unreachable=("y",)), 0.0)
+        assert peers.unreachable("a", 0.1) == frozenset({"x", "y"})
+
+    def test_silent_peer_says_nothing(self):
+        """Guard against upstreams that stay out by the word of a dead node."""
+        peers = book()
+        peers.hear("a:1", beat("a1", unreachable=("x",)), 0.0)
+        assert peers.unreachable("a", 60.0) == frozenset()
