Send no new prompts to engines that are silent or reject, and weigh failures

A silent engine now gets no new prompts from the pause on that its work explains plus 0.5 s, its peers hear of it, a rejection counts as a failure, and the running share of failures is part of the cost.

--- a/packages/dandelionpond/src/dandelionpond/entry/attempts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/attempts.py
@@ -136,14 +136,15 @@
         """Tell the fleet what an outcome says about an upstream."""
         match outcome:
             case NotSent(is_unreachable=True):
-                self.fleet.failed(entry.instance, is_unreachable=True)
+                self.fleet.failed(entry.instance, is_unresponsive=True)
             case Broken() | Silent():
                 self.fleet.failed(entry.instance)
             case Rejected(at_fault=at_fault) if at_fault is not None:
                 self._blame(entry, at_fault)
-            case Rejected(status=421):
+            case Rejected():
+                # It was chosen because it had a free place, by what all nodes know.
                 self.fleet.failed(entry.instance)
-            case Rejected() | Errored() | NotSent():
+            case Errored() | NotSent():
                 pass
 
     async def settle(
--- a/packages/dandelionpond/src/dandelionpond/entry/fleet.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/fleet.py
@@ -77,8 +77,8 @@
         self._budgets: dict[str, RetryShare] = {}
         self._ordered: tuple[int, dict[str, list[UpstreamEntry]]] | None = None
         self._silent: frozenset[str] = frozenset()
-        self._unreachable: frozenset[str] = frozenset()
-        self.on_unreachable: Callable[[], None] | None = None
+        self._unresponsive: frozenset[str] = frozenset()
+        self.on_unresponsive: Callable[[], None] | None = None
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
@@ -159,10 +159,16 @@
         """Return whether an upstream failed lately or lies in a silent domain."""
         return (
             self.health.is_avoided(entry.instance, self.now())
-            or entry.instance in self._unreachable
+            or entry.instance in self._unresponsive
             or entry.failure_domain in self._silent
         )
 
+    def is_silent_for_others(self, entry: UpstreamEntry) -> bool:
+        """Return whether peers get nothing from an upstream, or from its domain."""
+        return (
+            entry.instance in self._unresponsive or entry.failure_domain in self._silent
+        )
+
     def pause_s(self, entry: UpstreamEntry, model: EngineModel) -> float:
         """Return the pause of a stream that the known work on its engine explains."""
         return pause_s(self._engine(entry, 0, self.now()), model)
@@ -174,6 +180,7 @@
             position,
             self.jobs.load(entry.instance, now),
             max(1.0, self.health.slowness(entry.instance)),
+            self.health.failure_share(entry.instance),
             entry.failure_domain != self.settings.failure_domain,
         )
 
@@ -199,29 +206,29 @@
             return None
         return next(one for one in entries if one.instance == worker.instance)
 
-    def failed(self, instance: str, is_unreachable: bool = False) -> None:
+    def failed(self, instance: str, is_unresponsive: bool = False) -> None:
         """Learn that an upstream did not answer as it should."""
         now = self.now()
         was_avoided = self.health.is_avoided(instance, now)
-        self.health.hear(Failed(instance, now, is_unreachable))
+        self.health.hear(Failed(instance, now, is_unresponsive))
         if was_avoided:
             return
         log.info(
             "upstream avoided",
-            extra={"upstream": instance, "unreachable": is_unreachable},
+            extra={"upstream": instance, "unresponsive": is_unresponsive},
         )
-        if is_unreachable and self.on_unreachable is not None:
-            self.on_unreachable()
+        if is_unresponsive and self.on_unresponsive is not None:
+            self.on_unresponsive()
 
     def heard(self) -> None:
         """Learn that a peer told something."""
-        unreachable = self.peers.unreachable(self.settings.failure_domain, self.now())
-        if unreachable != self._unreachable:
+        unresponsive = self.peers.unresponsive(self.settings.failure_domain, self.now())
+        if unresponsive != self._unresponsive:
             log.info(
-                "peers cannot reach upstreams",
-                extra={"now": sorted(unreachable)[:20]},
+                "upstreams silent for peers",
+                extra={"now": sorted(unresponsive)[:20]},
             )
-            self._unreachable = unreachable
+            self._unresponsive = unresponsive
 
     def answered(self, instance: str, took_s: float, expected_s: float) -> None:
         """Learn how long an upstream took to answer."""
--- a/packages/dandelionpond/src/dandelionpond/entry/mesh.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/mesh.py
@@ -67,7 +67,7 @@
         if not fleet.peers.hear(address, beat, now):
             return
         fleet.jobs.hear(address, unpack(beat.jobs), now)
-        if beat.unreachable:
+        if beat.unresponsive:
             fleet.heard()
         if beat.wants_answer:
             self._send(address, self._beat(PEERS_IN_ANSWER))
@@ -148,7 +148,7 @@
             fleet.keeper.version,
             -1 if age is None else round(age * MS),
             pack(fleet.jobs.own_jobs(now)),
-            fleet.health.unreachable(now),
+            fleet.health.unresponsive(now),
             fleet.settings.fetch_address,
             fleet.peers.sample(now, peers) if peers else (),
             wants_answer,
--- a/packages/dandelionpond/src/dandelionpond/entry/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/prompts.py
@@ -31,8 +31,8 @@
 # the rest is for the first event there. Reading a prompt again takes an engine longer
 # than most pauses, so only signs of a failure make a node less patient.
 STALL_SHARE = 0.8
-# Pause in seconds, beyond what work on an engine explains, after which a stream goes
-# on elsewhere if the engine failed other requests lately.
+# Pause in seconds, beyond what work on an engine explains, after which it gets no new
+# prompts, and after which a stream goes on elsewhere if peers get nothing either.
 DOUBTFUL_STALL_S = 0.5
 # Interval in seconds between two looks for a free engine, and part of the remaining
 # time of a request that it waits for one.
@@ -233,6 +233,21 @@
         finally:
             opened.close()
 
+    async def _read(
+        self, exchange: Exchange, main: UpstreamEntry, doubt_in_s: float
+    ) -> bytes:
+        """Read on, and send no further prompts to an engine that is silent too long."""
+
+        def doubt() -> None:
+            self._forwarder.fleet.failed(main.instance, is_unresponsive=True)
+
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(max(0.0, doubt_in_s), doubt)
+        try:
+            return await exchange.read()
+        finally:
+            timer.cancel()
+
     def _may_try_again(self, run: _Run) -> bool:
         """Return whether a run that falls silent could go on at another engine."""
         fleet, progress = self._forwarder.fleet, run.progress
@@ -279,15 +294,17 @@
                 # Without a further try, silence is no reason to end an answer.
                 may_try = self._may_try_again(run)
                 limit = stall if may_try else call.deadline_at - now
-                if may_try and fleet.is_doubtful(main):
-                    explained = fleet.pause_s(main, run.model)
-                    limit = min(limit, explained + DOUBTFUL_STALL_S)
+                doubt_in_s = fleet.pause_s(main, run.model) + DOUBTFUL_STALL_S
+                if may_try and fleet.is_silent_for_others(main):
+                    limit = min(limit, doubt_in_s)
             else:
                 limit = sent_at + first_event_limit_s - now
+                doubt_in_s = sent_at + 2 * placement.first_event_s - now
+                doubt_in_s += DOUBTFUL_STALL_S
             limit = min(limit, call.deadline_at - now)
             try:
                 async with asyncio.timeout(max(0.001, limit)):
-                    data = await exchange.read()
+                    data = await self._read(exchange, main, doubt_in_s)
                 events = run.splitter.read(data) if data else b""
             except TimeoutError:
                 return Silent(fleet.now() - now)
--- a/packages/dandelionpond/src/dandelionpond/mesh/messages.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/messages.py
@@ -30,9 +30,9 @@
 
     `started_ms` and `sequence` order the beats of one node: a new incarnation starts
     later. `list_age_ms` is the age of the list of upstreams, negative before the first.
-    `unreachable` names upstreams that the sender could not connect to lately. `peers`
-    holds addresses of some nodes that the sender hears. `wants_answer` asks for a beat
-    in return at once.
+    `unresponsive` names upstreams that take no connection from the sender or are silent
+    for longer than their work explains. `peers` holds addresses of some nodes that the
+    sender hears. `wants_answer` asks for a beat in return at once.
     """
 
     node: str
@@ -45,7 +45,7 @@
     version: int
     list_age_ms: int
     jobs: tuple[WireJob, ...] = ()
-    unreachable: tuple[str, ...] = ()
+    unresponsive: tuple[str, ...] = ()
     fetch_address: str = ""
     peers: tuple[str, ...] = ()
     wants_answer: bool = False
--- a/packages/dandelionpond/src/dandelionpond/mesh/peers.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/peers.py
@@ -150,8 +150,8 @@
         silent = frozenset(d for d, at in heard.items() if now - at > silence_s)
         return frozenset() if len(silent) == len(heard) else silent
 
-    def unreachable(self, own_domain: str, now: float) -> frozenset[str]:
-        """Return upstreams that live peers cannot connect to.
+    def unresponsive(self, own_domain: str, now: float) -> frozenset[str]:
+        """Return upstreams from which live peers get nothing.
 
         One peer of the own failure domain is enough, or two of others: a single node's
         own path may be cut.
@@ -160,7 +160,7 @@
         once: set[str] = set()
         for peer in self.live(now):
             assert peer.beat is not None
-            names = set(peer.beat.unreachable)
+            names = set(peer.beat.unresponsive)
             if peer.beat.failure_domain == own_domain:
                 near |= names
             else:
--- a/packages/dandelionpond/src/dandelionpond/mesh/tests/test_peers.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/tests/test_peers.py
@@ -121,14 +121,14 @@
     def test_one_near_peer_or_two_others(self):
         """Guard against each node that waits for each dead upstream by itself."""
         peers = book()
-        peers.hear("a:1", beat("a1", unreachable=("x",)), 0.0)
-        peers.hear("b:1", beat("b1", domain="b", unreachable=("y", "z")), 0.0)
-        assert peers.unreachable("a", 0.1) == frozenset({"x"})
-        peers.hear("c:1", beat("c1", domain="c", unreachable=("y",)), 0.0)
-        assert peers.unreachable("a", 0.1) == frozenset({"x", "y"})
+        peers.hear("a:1", beat("a1", unresponsive=("x",)), 0.0)
+        peers.hear("b:1", beat("b1", domain="b", unresponsive=("y", "z")), 0.0)
+        assert peers.unresponsive("a", 0.1) == frozenset({"x"})
+        peers.hear("c:1", beat("c1", domain="c", unresponsive=("y",)), 0.0)
+        assert peers.unresponsive("a", 0.1) == frozenset({"x", "y"})
 
     def test_silent_peer_says_nothing(self):
         """Guard against upstreams that stay out by the word of a dead node."""
         peers = book()
-        peers.hear("a:1", beat("a1", unreachable=("x",)), 0.0)
-        assert peers.unreachable("a", 60.0) == frozenset()
+        peers.hear("a:1", beat("a1", unresponsive=("x",)), 0.0)
+        assert peers.unresponsive("a", 60.0) == frozenset()
--- a/packages/dandelionpond/src/dandelionpond/placement/choice.py
+++ b/packages/dandelionpond/src/dandelionpond/placement/choice.py
@@ -87,6 +87,7 @@
     position: int
     load: Load
     slowness: float = 1.0
+    failure_share: float = 0.0
     is_remote: bool = False
 
 
@@ -221,7 +222,7 @@
         cost = one.harm + late + TIME_COST * one.finish_s
         return round(cost, 2), order * one.engine.position
 
-    judged = [_judge(engine, model, part_s) for engine in engines]
+    judged = [_judge(engine, model, part_s, weight) for engine in engines]
     judged.sort(key=rank)
     return judged
 
@@ -325,12 +326,14 @@
     return SLOT_RISK[free_after] if free_after < len(SLOT_RISK) else 0.0
 
 
-def _judge(engine: Engine, model: EngineModel, part_s: float) -> _Judged:
+def _judge(engine: Engine, model: EngineModel, part_s: float, value: float) -> _Judged:
     load = engine.load
     stride = stride_s(model, len(load.writers), load.context_tokens) * engine.slowness
     part = part_s * engine.slowness
     before = stride + load.backlog_s
-    harm = sum(
+    # A failed attempt is made good by a second one, which is late.
+    harm = value * engine.failure_share
+    harm += sum(
         pause_loss(writer, before + part) - pause_loss(writer, before)
         for writer in load.writers
     )
--- a/packages/dandelionpond/src/dandelionpond/placement/health.py
+++ b/packages/dandelionpond/src/dandelionpond/placement/health.py
@@ -16,12 +16,12 @@
 class Failed(msgspec.Struct, frozen=True, tag=True):
     """State that an upstream did not answer as it should at a time in seconds.
 
-    `is_unreachable` says that no connection could be opened.
+    `is_unresponsive` says that no connection could be opened or that nothing came.
     """
 
     instance: str
     at: float
-    is_unreachable: bool = False
+    is_unresponsive: bool = False
 
 
 class Answered(msgspec.Struct, frozen=True, tag=True):
@@ -37,7 +37,7 @@
         "avoid_until",
         "failure_share",
         "failures",
-        "is_unreachable",
+        "is_unresponsive",
         "slowness",
     )
 
@@ -45,7 +45,7 @@
         self.failures = 0
         self.avoid_until = 0.0
         self.failure_share = 0.0
-        self.is_unreachable = False
+        self.is_unresponsive = False
         self.slowness = 1.0
 
 
@@ -61,15 +61,15 @@
         """Take in the outcome of one attempt."""
         record = self._records.setdefault(event.instance, _Record())
         match event:
-            case Failed(at=at, is_unreachable=is_unreachable):
-                record.is_unreachable = is_unreachable
+            case Failed(at=at, is_unresponsive=is_unresponsive):
+                record.is_unresponsive = is_unresponsive
                 record.failures = min(record.failures + 1, 8)
                 pause = min(MAX_AVOID_S, AVOID_S * 2 ** (record.failures - 1))
                 record.avoid_until = at + pause
                 record.failure_share += SAMPLE_WEIGHT * (1 - record.failure_share)
             case Answered(took_s=took, expected_s=expected):
                 record.failures = 0
-                record.is_unreachable = False
+                record.is_unresponsive = False
                 record.avoid_until = 0.0
                 record.failure_share *= 1 - SAMPLE_WEIGHT
                 ratio = min(8.0, max(0.25, took / max(expected, 1e-3)))
@@ -80,12 +80,12 @@
         record = self._records.get(instance)
         return record is not None and now < record.avoid_until
 
-    def unreachable(self, now: float) -> tuple[str, ...]:
-        """Return the upstreams that are avoided because no connection opens."""
+    def unresponsive(self, now: float) -> tuple[str, ...]:
+        """Return the upstreams that are avoided because nothing comes from them."""
         return tuple(
             name
             for name, record in self._records.items()
-            if record.is_unreachable and now < record.avoid_until
+            if record.is_unresponsive and now < record.avoid_until
         )
 
     def slowness(self, instance: str) -> float:
--- a/packages/dandelionpond/src/dandelionpond/placement/tests/test_choice.py
+++ b/packages/dandelionpond/src/dandelionpond/placement/tests/test_choice.py
@@ -18,7 +18,7 @@
     place_prompt,
 )
 from dandelionpond.placement.engine_time import read_s
-from dandelionpond.placement.jobs import Job, JobBook, Phase
+from dandelionpond.placement.jobs import IDLE, Job, JobBook, Phase
 from dandelionpond.published.messages import EngineModel
 
 MODEL = EngineModel(
@@ -215,6 +215,21 @@
         assert large.cost - small.cost > 1.0
 
 
+class TestGreyEngine:
+    """The pattern of an engine that fails part of its requests and answers probes."""
+
+    def test_engine_that_fails_goes_last(self):
+        """Guard against an engine that looks free because it fails."""
+        site = Site()
+        engines = [
+            Engine("bad", "bad:80", 0, IDLE, failure_share=0.3),
+            *site.engines()[8:],
+        ]
+        for prompt in (SHORT, LEDGER, CASE):
+            placement = place_prompt(prompt, engines, MODEL)
+            assert "bad" not in (placement.main, *placement.helpers)
+
+
 class TestGiantPrompt:
     """The pattern of prompts that need the memory of more than one engine."""
 
