--- a/packages/dandelionpond/src/dandelionpond/entry/attempts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/attempts.py
@@ -57,6 +57,12 @@
         self.attempts: list[dict[str, object]] = []
         self.predicted_s = 0.0
 
+    def begin(self, **inputs: object) -> dict[str, object]:
+        """Add an attempt with what decided it; it counts as cut off until it ends."""
+        attempt = {**inputs, "outcome": "cut off by the client or the stop"}
+        self.attempts.append(attempt)
+        return attempt
+
 
 class Attempt(msgspec.Struct):
     """Hold the result of one attempt: an outcome, or None if the answer is complete."""
--- a/packages/dandelionpond/src/dandelionpond/entry/calls.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/calls.py
@@ -61,7 +61,7 @@
                 if not await forwarder.settle(call, progress, attempt, reply):
                     return
         finally:
-            forwarder.fleet.jobs.end(call.head.request_id)
+            forwarder.fleet.jobs.end(call.key)
             forwarder.log_end(call, reply, trace, why)
 
     def _choose(self, call: Incoming, tried: frozenset[str]) -> UpstreamEntry | None:
@@ -91,19 +91,14 @@
         fleet = forwarder.fleet
         began = fleet.now()
         limit = self._limit_s(call, progress)
-        fleet.jobs.start(
-            call.head.request_id, [Job(entry.instance, Phase.CALLING, 0.0)], began
-        )
-        attempt = await self._exchange(call, entry, limit, reply)
-        took = fleet.now() - began
-        trace.attempts.append(
-            {
-                "upstream": entry.instance,
-                "took_s": round(took, 3),
-                "limit_s": round(limit, 3),
-                "outcome": describe(attempt.outcome),
-            }
-        )
+        fleet.jobs.start(call.key, [Job(entry.instance, Phase.CALLING, 0.0)], began)
+        line = trace.begin(upstream=entry.instance, limit_s=round(limit, 3))
+        try:
+            attempt = await self._exchange(call, entry, limit, reply)
+            line["outcome"] = describe(attempt.outcome)
+        finally:
+            took = fleet.now() - began
+            line["took_s"] = round(took, 3)
         if attempt.outcome is None:
             expected = self._expected.get(call.service, FIRST_EXPECTED_S)
             fleet.answered(entry.instance, took, expected)
--- a/packages/dandelionpond/src/dandelionpond/entry/incoming.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/incoming.py
@@ -1,15 +1,19 @@
 """Hold one request and the way back to its client."""
 
+import itertools
 from typing import Any
 
 from dandelionpond.forwarding.messages import Headers, RequestHead
 from dandelionpond.published.messages import Account, Route
 
+_numbers = itertools.count()
+
 
 class Incoming:
     """Hold a request that was read whole; times are monotonic seconds.
 
-    `target` is path and query as the client sent them.
+    `target` is path and query as the client sent them. `key` names the request within
+    this process, since nothing keeps clients from using an id twice.
     """
 
     __slots__ = (
@@ -19,6 +23,7 @@
         "deadline_at",
         "head",
         "headers",
+        "key",
         "method",
         "route",
         "service",
@@ -37,6 +42,7 @@
         account: Account | None,
         arrived_at: float,
     ) -> None:
+        self.key = f"{head.request_id}/{next(_numbers)}"
         self.method = method
         self.target = target
         self.headers = headers
--- a/packages/dandelionpond/src/dandelionpond/entry/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/prompts.py
@@ -101,7 +101,7 @@
                     return
                 run.splitter.restart()
         finally:
-            forwarder.fleet.jobs.end(call.head.request_id)
+            forwarder.fleet.jobs.end(call.key)
             forwarder.log_end(call, reply, run.trace, why)
 
     async def _give_up(self, run: _Run) -> None:
@@ -142,28 +142,30 @@
     ) -> Attempt:
         fleet, call = self._forwarder.fleet, run.call
         began = fleet.now()
-        fleet.jobs.start(call.head.request_id, _jobs(run, placement), began)
+        fleet.jobs.start(call.key, _jobs(run, placement), began)
         if placement.helpers:
-            await self._hold(call.head.request_id, placement.start_in_s)
+            await self._hold(call.key, placement.start_in_s)
         run.trace.predicted_s = placement.first_event_s
-        if placement.reserved:
-            attempt = await self._exchange_in_group(run, placement, entries)
-        else:
-            attempt = await self._exchange(run, placement, entries, None)
-        run.trace.attempts.append(
-            {
-                "upstream": placement.main,
-                "helpers": list(placement.helpers),
-                "predicted_s": round(placement.first_event_s, 3),
-                "held_s": round(placement.start_in_s, 3),
-                "cost": round(placement.cost, 3),
-                "took_s": round(fleet.now() - began, 3),
-                "first_event_s": round(run.first_event_s, 3),
-                "longest_pause_s": round(run.longest_pause_s, 3),
-                "events": run.splitter.passed,
-                "outcome": describe(attempt.outcome),
-            }
+        entry = run.trace.begin(
+            upstream=placement.main,
+            helpers=list(placement.helpers),
+            predicted_s=round(placement.first_event_s, 3),
+            held_s=round(placement.start_in_s, 3),
+            cost=round(placement.cost, 3),
         )
+        try:
+            if placement.reserved:
+                attempt = await self._exchange_in_group(run, placement, entries)
+            else:
+                attempt = await self._exchange(run, placement, entries, None)
+            entry["outcome"] = describe(attempt.outcome)
+        finally:
+            entry.update(
+                took_s=round(fleet.now() - began, 3),
+                first_event_s=round(run.first_event_s, 3),
+                longest_pause_s=round(run.longest_pause_s, 3),
+                events=run.splitter.passed,
+            )
         return attempt
 
     async def _hold(self, request: str, planned_s: float) -> None:
@@ -322,12 +324,12 @@
                 is_writing = True
                 run.first_event_s = fleet.now() - sent_at
                 is_late = fleet.now() - call.arrived_at > call.route.target_s
-                fleet.jobs.write(call.head.request_id)
+                fleet.jobs.write(call.key)
                 if not placement.helpers:
                     took = run.first_event_s
                     fleet.answered(placement.main, took, placement.first_event_s)
             if is_late:
-                fleet.jobs.miss(call.head.request_id)
+                fleet.jobs.miss(call.key)
             if events:
                 await self._begin(run, exchange)
                 await reply.part(events)
--- a/packages/dandelionpond/src/dandelionpond/mesh/tests/test_peers.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/tests/test_peers.py
@@ -115,7 +115,7 @@
         assert peers.silent_domains(9.0, 1.6) == frozenset()
 
 
-class TestUnreachable:
+class TestUnresponsive:
     """The pattern of engines that are taken away while the platform is down."""
 
     def test_one_near_peer_or_two_others(self):
