--- a/packages/dandelionpond/src/dandelionpond/entry/mesh.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/mesh.py
@@ -63,9 +63,11 @@
             return
         fleet = self._fleet
         now = fleet.now()
-        address = f"{addr[0]}:{addr[1]}"
+        address = beat.address
         if not fleet.peers.hear(address, beat, now):
             return
+        if beat.is_to_relay:
+            self._pass_on(beat, now)
         fleet.jobs.hear(address, unpack(beat.jobs), now)
         if beat.unresponsive:
             fleet.heard()
@@ -119,8 +121,22 @@
         self._told_changes = self._fleet.jobs.changes
         if not addresses:
             return
-        data = encode(self._beat(peers, wants_answer))
-        for address in addresses:
+        fleet = self._fleet
+        beat = self._beat(peers, wants_answer)
+        domain = fleet.settings.failure_domain
+        routes = fleet.peers.routes(addresses, domain, fleet.now())
+        data = encode(beat)
+        for address in routes.direct:
+            self._send_data(address, data)
+        if routes.relays:
+            data = encode(msgspec.structs.replace(beat, is_to_relay=True))
+            for address in routes.relays:
+                self._send_data(address, data)
+
+    def _pass_on(self, beat: Beat, now: float) -> None:
+        """Send a beat from another failure domain to the peers of the own one."""
+        data = encode(msgspec.structs.replace(beat, is_to_relay=False))
+        for address in self._fleet.peers.near(self._fleet.settings.failure_domain, now):
             self._send_data(address, data)
 
     def _send(self, address: str, beat: Beat) -> None:
@@ -139,6 +155,7 @@
         age = fleet.keeper.age_s(now)
         return Beat(
             fleet.settings.name,
+            fleet.settings.mesh_address,
             self._started_ms,
             self._sequence,
             fleet.settings.failure_domain,
--- a/packages/dandelionpond/src/dandelionpond/mesh/messages.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/messages.py
@@ -32,10 +32,13 @@
     later. `list_age_ms` is the age of the list of upstreams, negative before the first.
     `unresponsive` names upstreams that take no connection from the sender or are silent
     for longer than their work explains. `peers` holds addresses of some nodes that the
-    sender hears. `wants_answer` asks for a beat in return at once.
+    sender hears. `wants_answer` asks for a beat in return at once. `is_to_relay` asks
+    the receiver to pass the beat on within its failure domain; `address` is the
+    datagram address of the node that the beat is about.
     """
 
     node: str
+    address: str
     started_ms: int
     sequence: int
     failure_domain: str
@@ -49,6 +52,7 @@
     fetch_address: str = ""
     peers: tuple[str, ...] = ()
     wants_answer: bool = False
+    is_to_relay: bool = False
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/dandelionpond/src/dandelionpond/mesh/peers.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/peers.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from random import Random
 
+import msgspec
+
 from dandelionpond.mesh.messages import Beat
 
 # Interval between two beats to one peer, in seconds, in a small fleet.
@@ -24,6 +26,13 @@
 PEERS_IN_ANSWER = 64
 
 
+class Routes(msgspec.Struct, frozen=True):
+    """Name the peers that get a beat, and those that also pass it on."""
+
+    direct: tuple[str, ...]
+    relays: tuple[str, ...]
+
+
 class Peer:
     """Hold what is known of one peer; times are monotonic seconds of this node."""
 
@@ -128,6 +137,33 @@
                 chosen.append(address)
         return chosen
 
+    def routes(self, addresses: Iterable[str], own_domain: str, now: float) -> Routes:
+        """Return how beats reach some peers with few bytes between failure domains.
+
+        Peers of the own domain and silent ones are sent to directly. In each other
+        domain one live peer, drawn anew each time, passes a beat on.
+        """
+        live = {peer.address: peer for peer in self.live(now)}
+        direct: list[str] = []
+        domains: dict[str, list[str]] = {}
+        for address in addresses:
+            peer = live.get(address)
+            beat = peer.beat if peer else None
+            if beat is None or beat.is_leaving or beat.failure_domain == own_domain:
+                direct.append(address)
+            else:
+                domains.setdefault(beat.failure_domain, []).append(address)
+        relays = [self._random.choice(found) for _, found in sorted(domains.items())]
+        return Routes(tuple(direct), tuple(relays))
+
+    def near(self, own_domain: str, now: float) -> tuple[str, ...]:
+        """Return the live peers of the own failure domain."""
+        return tuple(
+            peer.address
+            for peer in self.live(now)
+            if peer.beat is not None and peer.beat.failure_domain == own_domain
+        )
+
     def sample(self, now: float, count: int) -> tuple[str, ...]:
         """Return some addresses of live peers."""
         addresses = [peer.address for peer in self.live(now)]
--- a/packages/dandelionpond/src/dandelionpond/mesh/tests/test_peers.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/tests/test_peers.py
@@ -19,7 +19,9 @@
 
 
 def beat(node="n", started_ms=5, sequence=1, domain="a", **fields):
-    return Beat(node, started_ms, sequence, domain, False, 0, 0, 0, -1, **fields)
+    return Beat(
+        node, f"{node}:1", started_ms, sequence, domain, False, 0, 0, 0, -1, **fields
+    )
 
 
 def book(*seeds):
@@ -98,6 +100,38 @@
         assert peers.addresses == ()
 
 
+class TestRoutes:
+    """The pattern of a large fleet whose bytes between failure domains are dear."""
+
+    def fleet(self):
+        peers = book()
+        for domain in "abc":
+            for number in range(5):
+                name = f"{domain}{number}"
+                peers.hear(f"{name}:1", beat(name, domain=domain), 0.0)
+        return peers
+
+    def test_one_peer_of_each_other_domain(self):
+        """Guard against news that cross to every node of another domain."""
+        peers = self.fleet()
+        routes = peers.routes(peers.addresses, "a", 0.1)
+        assert sorted(routes.direct) == [f"a{number}:1" for number in range(5)]
+        assert sorted(address[0] for address in routes.relays) == ["b", "c"]
+
+    def test_relay_changes(self):
+        """Guard against a dead relay that hides a domain from its peers."""
+        peers = self.fleet()
+        drawn = {peers.routes(peers.addresses, "a", 0.1).relays for _ in range(50)}
+        assert len(drawn) > 5
+
+    def test_silent_and_unknown_peers_are_asked_directly(self):
+        """Guard against sides of a cut that never meet again."""
+        peers = self.fleet()
+        routes = peers.routes((*peers.addresses, "new:1"), "a", 60.0)
+        assert len(routes.direct) == 16
+        assert routes.relays == ()
+
+
 class TestSilentDomains:
     def test_domain_that_fell_silent(self):
         """Guard against waiting for each upstream beyond a cut to time out."""
