Look again whether engines leave after a prompt was held

Cause: a prompt in parts can be held for seconds, and an engine that began to leave meanwhile would get work after the bound of two seconds. Found by reading; the test fails without the check.

--- a/packages/dandelionpond/src/dandelionpond/entry/fleet.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/fleet.py
@@ -1,7 +1,7 @@
 """Hold what a node believes of routes, upstreams, peers and outstanding work."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 
 import msgspec
@@ -139,6 +139,15 @@
             avoided = [one for one in avoided if one.failure_domain in self._silent]
         return Candidates(tuple(good), tuple(avoided))
 
+    def are_ready(self, instances: Iterable[str]) -> bool:
+        """Return whether all these upstreams still take new work."""
+        ready = {
+            entry.instance
+            for entry in self.keeper.entries(self.now())
+            if entry.state is UpstreamState.READY
+        }
+        return ready.issuperset(instances)
+
     def place_prompt(
         self, prompt: Prompt, entries: tuple[UpstreamEntry, ...], model: EngineModel
     ) -> PromptPlacement | None:
--- a/packages/dandelionpond/src/dandelionpond/entry/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/prompts.py
@@ -91,8 +91,9 @@
                     return
                 placement, entries = chosen
                 main = entries[placement.main]
-                tried.add(main.instance)
                 attempt = await self._attempt(run, placement, entries)
+                if not _is_untouched(attempt.outcome):
+                    tried.add(main.instance)
                 why = describe(attempt.outcome)
                 if attempt.outcome is None:
                     return
@@ -143,8 +144,6 @@
         fleet, call = self._forwarder.fleet, run.call
         began = fleet.now()
         fleet.jobs.start(call.key, _jobs(run, placement), began)
-        if placement.helpers:
-            await self._hold(call.key, placement.start_in_s)
         run.trace.predicted_s = placement.first_event_s
         entry = run.trace.begin(
             upstream=placement.main,
@@ -154,10 +153,7 @@
             cost=round(placement.cost, 3),
         )
         try:
-            if placement.reserved:
-                attempt = await self._exchange_in_group(run, placement, entries)
-            else:
-                attempt = await self._exchange(run, placement, entries, None)
+            attempt = await self._send(run, placement, entries)
             entry["outcome"] = describe(attempt.outcome)
         finally:
             entry.update(
@@ -168,6 +164,19 @@
             )
         return attempt
 
+    async def _send(
+        self, run: _Run, placement: PromptPlacement, entries: dict[str, UpstreamEntry]
+    ) -> Attempt:
+        if placement.helpers:
+            await self._hold(run.call.key, placement.start_in_s)
+            names = (placement.main, *placement.helpers)
+            if not self._forwarder.fleet.are_ready(names):
+                reason = "an engine left while the prompt was held"
+                return Attempt(NotSent(reason, is_unreachable=False))
+        if placement.reserved:
+            return await self._exchange_in_group(run, placement, entries)
+        return await self._exchange(run, placement, entries, None)
+
     async def _hold(self, request: str, planned_s: float) -> None:
         """Wait until the engines of a prompt in parts have read the parts before it.
 
@@ -348,6 +357,11 @@
         await run.reply.begin(exchange.status, headers)
 
 
+def _is_untouched(outcome: Outcome | None) -> bool:
+    """Return whether an attempt says nothing about its engine."""
+    return isinstance(outcome, NotSent) and not outcome.is_unreachable
+
+
 def _jobs(run: _Run, placement: PromptPlacement) -> list[Job]:
     head, gap = run.call.head, run.call.route.gap_target_s
     value = Prompt(head.prompt_tokens, 0, 0.0, gap).value
--- a/packages/dandelionpond/src/dandelionpond/placement/choice.py
+++ b/packages/dandelionpond/src/dandelionpond/placement/choice.py
@@ -53,7 +53,7 @@
 # that short prompts fill engines and leave others, where long prompts are read without
 # delaying an answer.
 OPEN_COST = 0.2
-# Factor on the cost for an engine in another failure domain, as added seconds.
+# Time in seconds that an engine in another failure domain adds to the first event.
 REMOTE_S = 0.002
 
 
--- a/tests/platform_adapter/test_node.py
+++ b/tests/platform_adapter/test_node.py
@@ -262,6 +262,39 @@
         on_site(test, engine)
 
 
+class TestHeldPrompts:
+    def test_engine_that_leaves_meanwhile_gets_nothing(self):
+        """Guard against work for an engine that began to leave during a hold."""
+        engines = [llm(f"e{number}") for number in range(4)]
+
+        async def test(site):
+            fleet = site.node._fleet
+            prompts = site.node._app._prompts
+            held = asyncio.Event()
+
+            async def hold(request, planned_s):
+                # All engines but one begin to leave while the prompt is held.
+                for engine in engines[1:]:
+                    site.store.put(
+                        f"servers/{engine.instance}", engine.entry("draining")
+                    )
+                await site.until(is_known)
+                held.set()
+
+            async def is_known():
+                return not fleet.are_ready([engines[1].instance])
+
+            prompts._hold = hold
+            status, _, _ = await site.ask(
+                "/chat/", Dandelionpond_Token_Count="150000,100"
+            )
+            assert held.is_set()
+            assert status == 200
+            assert [len(engine.runs) for engine in engines] == [1, 0, 0, 0]
+
+        on_site(test, *engines)
+
+
 class TestConfiguration:
     def test_change_comes_into_force(self):
         """Guard against a node that keeps a dropped route and a revoked key."""
