--- a/packages/dandelionpond/src/dandelionpond/entry/exchange.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/exchange.py
@@ -146,9 +146,12 @@
 
 
 class Exchanger:
-    """Open exchanges; create it inside the running loop."""
+    """Open exchanges; create it inside the running loop.
 
-    def __init__(self) -> None:
+    `connect_timeout_s` bounds the opening of a connection in seconds.
+    """
+
+    def __init__(self, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
         connector = aiohttp.TCPConnector(
             limit=0, force_close=True, socket_factory=_open_socket
         )
@@ -161,7 +164,7 @@
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=_NO_AUTO_HEADERS,
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
             read_bufsize=READ_BYTES,
         )
 
--- a/packages/dandelionpond/src/dandelionpond/entry/process.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/process.py
@@ -75,7 +75,7 @@
         self._snapshots = SnapshotServer(
             settings.fetch_address, self._sync.held, PeerSettings()
         )
-        self._exchanger = Exchanger()
+        self._exchanger = Exchanger(settings.connect_timeout_s)
         self._forwarder = Forwarder(self._fleet, self._exchanger, dialect)
         self._groups = Groups(self._fleet, orders, self._tasks)
         self._app = EntryApp(
--- a/packages/dandelionpond/src/dandelionpond/entry/settings.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/settings.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from dandelionpond.entry.exchange import CONNECT_TIMEOUT_S
 from dandelionpond.forwarding.budget import BudgetSettings
 from dandelionpond.shutdown.settings import ShutdownSettings
 
@@ -17,7 +18,8 @@
 
     Addresses are `IP:port`. `mesh_address` is for datagrams between nodes,
     `fetch_address` for gRPC, `seeds` holds datagram addresses of some nodes.
-    `grace_s` is the time between the signal of a planned stop and the kill.
+    `grace_s` is the time between the signal of a planned stop and the kill,
+    `connect_timeout_s` the longest time for a connection to an upstream to open.
     """
 
     name: str
@@ -31,6 +33,7 @@
     seeds: tuple[str, ...]
     grace_s: float
     budget: BudgetSettings
+    connect_timeout_s: float = CONNECT_TIMEOUT_S
 
     @property
     def shutdown(self) -> ShutdownSettings:
