Let tests interrupt programs also when the run itself ignores SIGINT

Cause: two full runs that were started in the background failed in test_follow_until_interrupted (TimeoutExpired), which passes in the foreground. A background job of a shell ignores SIGINT, and the recorder that the test interrupts inherits that. Shown by the test alone: red under trap '' INT before, green after.

--- a/conftest.py
+++ b/conftest.py
@@ -1,5 +1,6 @@
 """Deselect exactly the tests named in KNOWN-RED.txt, unless --known-red is given."""
 
+import signal
 from pathlib import Path
 
 import pytest
@@ -10,6 +11,12 @@
 settings.load_profile("ci")
 
 
+# A shell starts background jobs with SIGINT ignored, and programs under test inherit it;
+# tests that interrupt them then never end.
+if signal.getsignal(signal.SIGINT) is signal.SIG_IGN:
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+
+
 def pytest_addoption(parser: pytest.Parser) -> None:
     """Add the option that runs the known failing tests as well."""
     parser.addoption("--known-red", action="store_true", help="run KNOWN-RED.txt too")
