--- a/conftest.py
+++ b/conftest.py
@@ -11,8 +11,8 @@
 settings.load_profile("ci")
 
 
-# A shell starts background jobs with SIGINT ignored, and programs under test inherit it;
-# tests that interrupt them then never end.
+# A shell starts background jobs with SIGINT ignored, and programs under test inherit
+# it; tests that interrupt them then never end.
 if signal.getsignal(signal.SIGINT) is signal.SIG_IGN:
     signal.signal(signal.SIGINT, signal.default_int_handler)
 
