Wait for the node's own record of a cancelled prompt in the slow reader test

Cause: the engine forgets a cancelled prompt before the node has read the answer to its cancel. The test took the node's dump between the two, on a busy machine, and found one lease. It waits for the record now; leases must still reach zero while the prompt could hold them, and the counts of text, pauses and prompts are compared as before.

Ruled out: lost text (all three answers compared equal in the failing run).

--- a/packages/standins/tests/test_proof_streams.py
+++ b/packages/standins/tests/test_proof_streams.py
@@ -210,8 +210,15 @@
                             return False
                 return True
 
+            async def is_confirmed():
+                # The engine forgets a prompt before the node has read its answer to
+                # the cancel, so the node's own record follows a moment later.
+                dump = await stack.operate(NODE, "/v1/dump")
+                return dump["memory"]["leases"] == 0
+
             # Less than the time to live of the lease: the node itself cancels.
             await wait_until(is_free)
+            await wait_until(is_confirmed)
             return results, await stack.operate(NODE, "/v1/dump")
 
         # The node joins tokens that arrive together, so pieces are few.
