Spread large documents over slow links: smaller replies, reads that continue

During a series of changes 136 calls timed out after 0.9 s and readers lost the store. - A peer sent the whole document, uncompressed, with each change of an upstream; some 2,900 fetches passed their 0.8 s. - Readers were drawn without regard to their links, and when one was late all nodes of its failure domain read the store at once.

Ruled out: processor time of the nodes (0.03 cores in the mean).

Also removes fields that nothing used: the first time a peer was heard, the address of a candidate, the chunk and report lag of an engine, the leaving flag of an answer, and a parameter of passed_on.

--- a/packages/dandelionpond/src/dandelionpond/entry/attempts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/attempts.py
@@ -135,7 +135,7 @@
             return Attempt(error.outcome)
         except TimeoutError:
             return Attempt(Silent(remaining))
-        headers = self.dialect.passed_on(exchange.headers, is_stream=False)
+        headers = self.dialect.passed_on(exchange.headers)
         return Attempt(Errored(head.status), FailedAnswer(head.status, headers, body))
 
     def learn(self, entry: UpstreamEntry, outcome: Outcome) -> None:
--- a/packages/dandelionpond/src/dandelionpond/entry/calls.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/calls.py
@@ -129,7 +129,7 @@
                 return Attempt(error.outcome)
             except TimeoutError:
                 return Attempt(Silent(limit_s))
-            headers = forwarder.dialect.passed_on(opened.headers, is_stream=False)
+            headers = forwarder.dialect.passed_on(opened.headers)
             await reply.whole(head.status, headers, body)
             return Attempt(None)
         finally:
--- a/packages/dandelionpond/src/dandelionpond/entry/fleet.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/fleet.py
@@ -185,7 +185,6 @@
     def _engine(self, entry: UpstreamEntry, position: int, now: float) -> Engine:
         return Engine(
             entry.instance,
-            entry.address,
             position,
             self.jobs.load(entry.instance, now),
             max(1.0, self.health.slowness(entry.instance)),
--- a/packages/dandelionpond/src/dandelionpond/entry/mesh.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/mesh.py
@@ -169,4 +169,5 @@
             fleet.settings.fetch_address,
             fleet.peers.sample(now, peers) if peers else (),
             wants_answer,
+            capacity=fleet.settings.capacity,
         )
--- a/packages/dandelionpond/src/dandelionpond/entry/process.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/process.py
@@ -70,7 +70,7 @@
         self._fleet = Fleet(settings, clock, Random(secrets.randbits(64)))
         self._sync = Sync(self._fleet, store, self._tasks)
         self._mesh = Mesh(self._fleet, self._sync.heard)
-        self._sync.on_change = self._mesh.tell_now
+        self._sync.on_news = self._mesh.tell_now
         self._fleet.on_unresponsive = self._mesh.tell_now
         self._snapshots = SnapshotServer(
             settings.fetch_address, self._sync.held, PeerSettings()
--- a/packages/dandelionpond/src/dandelionpond/entry/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/prompts.py
@@ -353,7 +353,7 @@
         if run.reply.has_begun:
             return
         run.progress.has_begun = True
-        headers = self._forwarder.dialect.passed_on(exchange.headers, is_stream=True)
+        headers = self._forwarder.dialect.passed_on(exchange.headers)
         await run.reply.begin(exchange.status, headers)
 
 
--- a/packages/dandelionpond/src/dandelionpond/entry/sync.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/sync.py
@@ -1,5 +1,6 @@
 """Keep the published state fresh, from the platform or from peers."""
 
+import asyncio
 import logging
 from typing import Protocol
 
@@ -11,20 +12,28 @@
 from dandelionpond.peer.settings import PeerSettings
 from dandelionpond.peer.snapshots import fetch_snapshot
 from dandelionpond.published.messages import Snapshot
-from dandelionpond.published.readers import Candidate, ReadPace, reader_of
+from dandelionpond.published.readers import Candidate, ReadPace, place_of
 from dandelionpond.runtime.tasks import Tasks
 
 log = logging.getLogger("dandelionpond.sync")
 
 # Interval in seconds in which a node looks whether a read is due.
 LOOK_S = 0.1
+# Time in seconds for which a node waits for its own failure domain's reader before it
+# fetches news from another domain. The readers read every 0.6 s, each on its own.
+FAR_DELAY_S = 0.3
 
 
 class Store(Protocol):
     """Read the platform's service; implemented by an adapter."""
 
-    async def read(self, known_version: int) -> Result[Snapshot, Failure]:
-        """Return the entries, and the document if it is newer than `known_version`."""
+    async def read(
+        self, known_version: int, document_revision: int
+    ) -> Result[Snapshot, Failure]:
+        """Return the entries, and the document if it is newer than `known_version`.
+
+        The platform held no newer document at `document_revision`; 0 is unknown.
+        """
         ...
 
     async def close(self) -> None:
@@ -44,7 +53,7 @@
         self._is_fetching = False
         self._has_store: bool | None = None
         self._was_reader = False
-        self.on_change = self._ignore
+        self.on_news = self._ignore
         self.counters = {
             "reads": 0,
             "failed_reads": 0,
@@ -62,15 +71,21 @@
         if beat.list_age_ms < 0 or not beat.fetch_address:
             return
         read_at = fleet.now() - beat.list_age_ms / MS
-        is_newer = beat.list_revision > keeper.revision or beat.version > keeper.version
         if beat.list_revision >= keeper.revision and keeper.confirm(
             beat.list_revision, beat.digest, read_at
         ):
             return
-        if is_newer and not self._is_fetching:
+        if self._is_newer(beat) and not self._is_fetching:
             self._is_fetching = True
             self._tasks.spawn(self._fetch(beat), "fetch-snapshot")
 
+    def _is_newer(self, beat: Beat) -> bool:
+        """Return whether the sender of a beat holds something newer."""
+        keeper = self._fleet.keeper
+        return (
+            beat.list_revision > keeper.revision and beat.digest != keeper.digest
+        ) or beat.version > keeper.version
+
     def held(self) -> tuple[Snapshot, float]:
         """Return the snapshot in force and its age, for a peer."""
         age = self._fleet.keeper.age_s(self._fleet.now())
@@ -79,37 +94,43 @@
     async def _look(self) -> None:
         fleet = self._fleet
         now = fleet.now()
-        is_reader = self._is_reader(now)
-        if is_reader != self._was_reader:
-            log.info("reader role changed", extra={"is_reader": is_reader})
-            self._was_reader = is_reader
+        place = self._place(now)
+        if (place == 0) != self._was_reader:
+            self._was_reader = place == 0
+            log.info("reader role changed", extra={"is_reader": self._was_reader})
         age = fleet.keeper.age_s(now)
-        if self._is_reading or not self._pace.is_due(now, is_reader, age):
+        if self._is_reading or not self._pace.is_due(now, place, age):
             return
         self._is_reading = True
         self._pace.begun(now)
         self._tasks.spawn(self._read(now), "read-platform")
 
-    def _is_reader(self, now: float) -> bool:
-        settings = self._fleet.settings
-        nodes = [Candidate(settings.name, settings.failure_domain)]
+    def _place(self, now: float) -> int:
+        """Return the place of this node in the order of its domain's readers."""
+        own = self._fleet.settings
+        nodes = [Candidate(own.name, own.failure_domain, own.capacity)]
         for peer in self._fleet.peers.live(now):
-            if peer.beat is not None and not peer.beat.is_leaving:
-                nodes.append(Candidate(peer.beat.node, peer.beat.failure_domain))
-        return reader_of(settings.failure_domain, nodes) == settings.name
+            beat = peer.beat
+            if beat is not None and not beat.is_leaving:
+                nodes.append(Candidate(beat.node, beat.failure_domain, beat.capacity))
+        return place_of(own.name, own.failure_domain, nodes)
 
     async def _read(self, begun_at: float) -> None:
         fleet = self._fleet
         try:
-            found = await self._store.read(fleet.keeper.version)
+            found = await self._store.read(
+                fleet.keeper.version, fleet.keeper.document_revision
+            )
         finally:
             self._is_reading = False
         self.counters["reads"] += 1
         self._pace.ended(fleet.now(), found.is_ok())
         self._note(found)
         # The list is as old as the beginning of its read.
-        if found.is_ok() and fleet.take(found.ok, begun_at, "platform"):
-            self.on_change()
+        if found.is_ok():
+            fleet.take(found.ok, begun_at, "platform")
+            # Also without a change: it confirms the lists of the peers.
+            self.on_news()
 
     def _note(self, found: Result[Snapshot, Failure]) -> None:
         has_store = found.is_ok()
@@ -123,19 +144,29 @@
                 log.warning("platform lost", extra={"why": found.error.message})
 
     async def _fetch(self, beat: Beat) -> None:
-        self.counters["fetches"] += 1
         fleet = self._fleet
-        begun_at = fleet.now()
+        is_far = beat.failure_domain != fleet.settings.failure_domain
         try:
+            if is_far:
+                await asyncio.sleep(FAR_DELAY_S)
+                if not self._is_newer(beat):
+                    return
+            self.counters["fetches"] += 1
+            begun_at = fleet.now()
             reply = await fetch_snapshot(
-                beat.fetch_address, fleet.settings.name, PeerSettings()
+                beat.fetch_address,
+                fleet.settings.name,
+                fleet.keeper.version,
+                PeerSettings(),
             )
         finally:
             self._is_fetching = False
         match reply:
             case Result(tag="ok", ok=(snapshot, age_s)):
-                if fleet.take(snapshot, begun_at - age_s, f"peer {beat.node}"):
-                    self.on_change()
+                changed = fleet.take(snapshot, begun_at - age_s, f"peer {beat.node}")
+                # Peers of the domain have heard the one that this came from.
+                if changed and is_far:
+                    self.on_news()
             case Result(error=failure):
                 self.counters["failed_fetches"] += 1
                 log.warning(
--- a/packages/dandelionpond/src/dandelionpond/forwarding/messages.py
+++ b/packages/dandelionpond/src/dandelionpond/forwarding/messages.py
@@ -58,7 +58,6 @@
     is_stamped: bool
     is_not_run: bool
     is_encoded: bool
-    is_leaving: bool
     at_fault: str | None
 
 
@@ -77,7 +76,7 @@
         """Return what the headers of an answer say."""
         ...
 
-    def passed_on(self, headers: Headers, is_stream: bool) -> list[tuple[bytes, bytes]]:
+    def passed_on(self, headers: Headers) -> list[tuple[bytes, bytes]]:
         """Return the headers of an answer that the client receives."""
         ...
 
--- a/packages/dandelionpond/src/dandelionpond/mesh/messages.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/messages.py
@@ -34,7 +34,8 @@
     for longer than their work explains. `peers` holds addresses of some nodes that the
     sender hears. `wants_answer` asks for a beat in return at once. `is_to_relay` asks
     the receiver to pass the beat on within its failure domain; `address` is the
-    datagram address of the node that the beat is about.
+    datagram address of the node that the beat is about. `capacity` is the sender's, in
+    percent of a usual machine.
     """
 
     node: str
@@ -53,6 +54,7 @@
     peers: tuple[str, ...] = ()
     wants_answer: bool = False
     is_to_relay: bool = False
+    capacity: int = 100
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/dandelionpond/src/dandelionpond/mesh/peers.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/peers.py
@@ -39,7 +39,6 @@
     __slots__ = (
         "address",
         "beat",
-        "first_heard_at",
         "heard_at",
         "retired",
         "sent",
@@ -49,7 +48,6 @@
         self.address = address
         self.beat: Beat | None = None
         self.heard_at = -1e9
-        self.first_heard_at = -1e9
         self.retired: tuple[int, ...] = ()
         self.sent = 0
 
@@ -68,10 +66,8 @@
     def take(self, beat: Beat, now: float) -> None:
         """Keep a beat that is not old."""
         last = self.beat
-        if last is None or last.started_ms != beat.started_ms:
-            self.first_heard_at = now
-            if last is not None:
-                self.retired = (*self.retired, last.started_ms)[-RETIRED_STARTS:]
+        if last is not None and last.started_ms != beat.started_ms:
+            self.retired = (*self.retired, last.started_ms)[-RETIRED_STARTS:]
         self.beat = beat
         self.heard_at = now
 
--- a/packages/dandelionpond/src/dandelionpond/placement/choice.py
+++ b/packages/dandelionpond/src/dandelionpond/placement/choice.py
@@ -83,7 +83,6 @@
     """Describe a candidate; `position` is its place in the order all nodes share."""
 
     instance: str
-    address: str
     position: int
     load: Load
     slowness: float = 1.0
--- a/packages/dandelionpond/src/dandelionpond/placement/tests/test_choice.py
+++ b/packages/dandelionpond/src/dandelionpond/placement/tests/test_choice.py
@@ -30,8 +30,6 @@
     per_context_token_s=0.00000000285,
     read_tokens_per_s=177_000.0,
     per_pair_s=0.184e-9,
-    chunk_tokens=2048,
-    report_lag_s=0.2,
 )
 SHORT = Prompt(5_000, 3_000, 0.3, 0.25)
 LEDGER = Prompt(45_000, 2_000, 1.5, 0.6)
@@ -49,7 +47,7 @@
 
     def engines(self, avoid=()):
         return [
-            Engine(name, f"{name}:80", place, self.book.load(name, self.now))
+            Engine(name, place, self.book.load(name, self.now))
             for place, name in enumerate(NAMES)
             if name not in avoid
         ]
@@ -222,7 +220,7 @@
         """Guard against an engine that looks free because it fails."""
         site = Site()
         engines = [
-            Engine("bad", "bad:80", 0, IDLE, failure_share=0.3),
+            Engine("bad", 0, IDLE, failure_share=0.3),
             *site.engines()[8:],
         ]
         for prompt in (SHORT, LEDGER, CASE):
--- a/packages/dandelionpond/src/dandelionpond/published/keeper.py
+++ b/packages/dandelionpond/src/dandelionpond/published/keeper.py
@@ -4,7 +4,6 @@
 import xxhash
 
 from dandelionpond.published.messages import (
-    RoutingDocument,
     Snapshot,
     UpstreamEntry,
     UpstreamState,
@@ -38,6 +37,7 @@
 
     __slots__ = (
         "_digest",
+        "_document_revision",
         "_entries",
         "_fresh_at",
         "_held",
@@ -53,6 +53,7 @@
         self._held: dict[str, UpstreamEntry] = {}
         self._held_until = 0.0
         self._revision = 0
+        self._document_revision = 0
         self._fresh_at: float | None = None
         self._digest = 0
         self.counters = KeeperCounters()
@@ -72,6 +73,14 @@
         """Return the platform's revision at the newest list, 0 before the first."""
         return self._revision
 
+    @property
+    def document_revision(self) -> int:
+        """Return a revision at which the platform held no newer document; 0 if unknown.
+
+        Whoever reads the platform next asks for the changes since, not for the whole.
+        """
+        return self._document_revision
+
     @property
     def digest(self) -> int:
         """Return a digest of version and entries, to compare with a peer's."""
@@ -89,7 +98,12 @@
     def snapshot(self) -> Snapshot:
         """Return what a peer needs to catch up."""
         document = self._table.document if self._table else None
-        return Snapshot(self._revision, tuple(self._entries.values()), document)
+        return Snapshot(
+            self._revision,
+            tuple(self._entries.values()),
+            document,
+            self._document_revision,
+        )
 
     def offer(self, snapshot: Snapshot, read_at: float, now: float) -> bool:
         """Take what is newer in a snapshot; return whether anything changed.
@@ -97,8 +111,7 @@
         `read_at` is the time at which the platform was read.
         """
         before = self._digest
-        if snapshot.document is not None:
-            self._offer_document(snapshot.document)
+        self._offer_document(snapshot)
         if snapshot.store_revision < self._revision:
             self.counters.old_lists += 1
         else:
@@ -125,12 +138,16 @@
             return tuple(self._entries.values())
         return (*self._entries.values(), *self._held.values())
 
-    def _offer_document(self, document: RoutingDocument) -> None:
-        if document.version <= self.version:
-            self.counters.old_documents += document.version < self.version
+    def _offer_document(self, snapshot: Snapshot) -> None:
+        document = snapshot.document
+        if document is not None and document.version < self.version:
+            self.counters.old_documents += 1
             return
-        self._table = RouteTable(document)
-        self.counters.documents += 1
+        if document is not None and document.version > self.version:
+            self._table = RouteTable(document)
+            self.counters.documents += 1
+        revision = max(self._document_revision, snapshot.document_revision)
+        self._document_revision = revision
 
     def _offer_entries(self, snapshot: Snapshot, read_at: float, now: float) -> None:
         fresh = {entry.instance: entry for entry in snapshot.entries}
--- a/packages/dandelionpond/src/dandelionpond/published/messages.py
+++ b/packages/dandelionpond/src/dandelionpond/published/messages.py
@@ -70,8 +70,6 @@
     per_context_token_s: float
     read_tokens_per_s: float
     per_pair_s: float
-    chunk_tokens: int
-    report_lag_s: float
 
 
 class Service(msgspec.Struct, frozen=True):
@@ -136,9 +134,12 @@
     """Hold what one read of the platform saw.
 
     `store_revision` is the platform's revision at the read of the entries. A document
-    of None was not read.
+    of None was not read, or is not newer than the one that the reader knew. The
+    platform held no newer document than this one, or than the known one, at
+    `document_revision`; 0 is unknown.
     """
 
     store_revision: int
     entries: tuple[UpstreamEntry, ...]
     document: RoutingDocument | None = None
+    document_revision: int = 0
--- a/packages/dandelionpond/src/dandelionpond/published/readers.py
+++ b/packages/dandelionpond/src/dandelionpond/published/readers.py
@@ -8,28 +8,36 @@
 # Interval between two reads of a reader, in seconds. The bounds of leaving and of
 # settings are 2 s and more; a read and the news to peers take some 10 ms.
 READ_INTERVAL_S = 0.6
-# Age of the list, in seconds, at which a node reads for itself: its reader is silent
-# or has lost the platform.
+# Age of the list, in seconds, at which the next node in order reads for itself: the
+# reader is silent or has lost the platform.
 TAKE_OVER_S = 1.1
+# Further age in seconds for each later place in the order, and the last place that
+# waits longer: what one node reads reaches its peers in less.
+TAKE_OVER_STEP_S = 0.15
+TAKE_OVER_PLACES = 4
 # Longest interval between the reads of a node that takes over, in seconds.
 MAX_BACKOFF_S = 2.0
 
 
 class Candidate(msgspec.Struct, frozen=True):
-    """Name a node that may read."""
+    """Name a node that may read; `capacity` is in percent of a usual machine."""
 
     name: str
     failure_domain: str
+    capacity: int = 100
 
 
-def reader_of(failure_domain: str, nodes: Iterable[Candidate]) -> str | None:
-    """Return the reader of a failure domain by rendezvous hashing.
+def place_of(name: str, failure_domain: str, nodes: Iterable[Candidate]) -> int:
+    """Return a node's place in the order of its failure domain's readers.
 
-    All nodes with the same view of who is live find the same one; a different view
+    The node at place 0 reads; the others follow if it is silent. Larger machines come
+    first, because the reader also serves its peers, then rendezvous hashing decides.
+    All nodes with the same view of who is live find the same order; a different view
     costs a second reader for a while, which does no harm.
     """
-    names = [node.name for node in nodes if node.failure_domain == failure_domain]
-    return max(names, key=_rank, default=None)
+    near = [node for node in nodes if node.failure_domain == failure_domain]
+    order = [node.name for node in sorted(near, key=_rank, reverse=True)]
+    return order.index(name)
 
 
 class ReadPace:
@@ -42,13 +50,18 @@
         self._next_at = 0.0
         self.take_overs = 0
 
-    def is_due(self, now: float, is_reader: bool, age_s: float | None) -> bool:
-        """Return whether to read now; `age_s` is the age of the list in force."""
+    def is_due(self, now: float, place: int, age_s: float | None) -> bool:
+        """Return whether to read now.
+
+        `place` is the node's one in the order of readers, `age_s` the age of the list
+        in force.
+        """
         if now < self._next_at:
             return False
-        if is_reader or age_s is None:
+        if place == 0 or age_s is None:
             return True
-        if age_s > TAKE_OVER_S:
+        later = min(place - 1, TAKE_OVER_PLACES)
+        if age_s > TAKE_OVER_S + TAKE_OVER_STEP_S * later:
             self.take_overs += 1
             return True
         return False
@@ -67,5 +80,5 @@
         self._next_at = now + pause
 
 
-def _rank(name: str) -> int:
-    return xxhash.xxh64_intdigest(name.encode())
+def _rank(node: Candidate) -> tuple[int, int]:
+    return node.capacity, xxhash.xxh64_intdigest(node.name.encode())
--- a/packages/dandelionpond/src/dandelionpond/published/tests/test_keeper.py
+++ b/packages/dandelionpond/src/dandelionpond/published/tests/test_keeper.py
@@ -35,6 +35,18 @@
         assert keeper.version == 7
         assert keeper.counters.old_documents == 1
 
+    def test_revision_of_the_document_follows_its_source(self):
+        """Guard against changes that a reader skips after a peer's document."""
+        keeper = SnapshotKeeper()
+        three, five = (RoutingDocument(version, (), ()) for version in (3, 5))
+        keeper.offer(Snapshot(10, (), five, 10), 0.0, 0.0)
+        keeper.offer(Snapshot(20, (), three, 20), 0.0, 0.0)
+        assert keeper.document_revision == 10
+        keeper.offer(Snapshot(30, (), None, 25), 0.0, 0.0)
+        keeper.offer(Snapshot(31, (), five, 0), 0.0, 0.0)
+        assert keeper.document_revision == 25
+        assert keeper.snapshot().document_revision == 25
+
     def test_needs_both_parts(self):
         """Guard against a node that serves without a list of upstreams."""
         keeper = SnapshotKeeper()
--- a/packages/dandelionpond/src/dandelionpond/published/tests/test_readers.py
+++ b/packages/dandelionpond/src/dandelionpond/published/tests/test_readers.py
@@ -5,10 +5,12 @@
 from dandelionpond.published.readers import (
     MAX_BACKOFF_S,
     READ_INTERVAL_S,
+    TAKE_OVER_PLACES,
     TAKE_OVER_S,
+    TAKE_OVER_STEP_S,
     Candidate,
     ReadPace,
-    reader_of,
+    place_of,
 )
 
 
@@ -16,18 +18,24 @@
     return [Candidate(name, domain) for name in names]
 
 
-class TestReaderOf:
-    def test_all_nodes_find_the_same_one(self):
+class TestPlaceOf:
+    def test_all_nodes_find_the_same_order(self):
         """Guard against a domain in which every node reads."""
         names = [f"n{number}" for number in range(40)]
-        one = reader_of("a", nodes(*names))
-        assert one == reader_of("a", nodes(*reversed(names)))
-        rest = [name for name in names if name != one]
-        assert reader_of("a", nodes(*rest)) in rest
+        places = {name: place_of(name, "a", nodes(*names)) for name in names}
+        assert sorted(places.values()) == list(range(40))
+        assert places == {n: place_of(n, "a", nodes(*reversed(names))) for n in names}
 
     def test_other_domains_do_not_count(self):
         """Guard against a cut-off domain that relies on a reader beyond the cut."""
-        assert reader_of("a", nodes("x", domain="b")) is None
+        far = nodes(*(f"x{number}" for number in range(9)), domain="b")
+        assert place_of("n", "a", [*far, *nodes("n")]) == 0
+
+    def test_small_machines_come_last(self):
+        """Guard against a slow link that the whole domain waits for."""
+        fleet = [Candidate(f"n{n}", "a", 7 + n) for n in range(9)]
+        order = sorted(fleet, key=lambda one: place_of(one.name, "a", fleet))
+        assert [one.capacity for one in order] == list(range(15, 6, -1))
 
 
 class TestReadPace:
@@ -35,19 +43,32 @@
         """Guard against reads in each turn of the loop."""
         pace = ReadPace()
         pace.begun(0.0)
-        assert not pace.is_due(READ_INTERVAL_S / 2, True, 0.1)
-        assert pace.is_due(READ_INTERVAL_S, True, 0.1)
+        assert not pace.is_due(READ_INTERVAL_S / 2, 0, 0.1)
+        assert pace.is_due(READ_INTERVAL_S, 0, 0.1)
 
     def test_others_take_over_from_a_silent_reader(self):
         """Guard against a reader that is frozen while its peers wait for it."""
         pace = ReadPace()
-        assert not pace.is_due(5.0, False, TAKE_OVER_S - 0.1)
-        assert pace.is_due(5.0, False, TAKE_OVER_S + 0.1)
+        assert not pace.is_due(5.0, 1, TAKE_OVER_S - 0.1)
+        assert pace.is_due(5.0, 1, TAKE_OVER_S + 0.1)
         assert pace.take_overs == 1
 
+    def test_others_take_over_one_after_another(self):
+        """Guard against a domain that reads as one when its reader falls silent."""
+        ages = []
+        for place in range(1, 40):
+            age = 0.0
+            while not ReadPace().is_due(5.0, place, age):
+                age += 0.01
+            ages.append(age)
+        assert ages[1] - ages[0] > TAKE_OVER_STEP_S / 2
+        # All of them read within the bound of 2 s for a document to be in force.
+        assert max(ages) < TAKE_OVER_S + TAKE_OVER_STEP_S * TAKE_OVER_PLACES + 0.02
+        assert max(ages) < 1.8
+
     def test_node_without_a_list_reads(self):
         """Guard against a first start in which nobody reads."""
-        assert ReadPace().is_due(0.0, False, None)
+        assert ReadPace().is_due(0.0, 7, None)
 
     def test_failures_slow_down_up_to_a_bound(self):
         """Guard against a fleet that presses on a platform that is down."""
@@ -57,7 +78,7 @@
             starts.append(now)
             pace.begun(now)
             pace.ended(now, False)
-            while not pace.is_due(now, True, 9.0):
+            while not pace.is_due(now, 0, 9.0):
                 now += 0.01
         gaps = [b - a for a, b in pairwise(starts)]
         assert all(b >= a - 0.02 for a, b in pairwise(gaps))
--- a/tests/platform_adapter/platform_stubs.py
+++ b/tests/platform_adapter/platform_stubs.py
@@ -55,6 +55,7 @@
         self.dropped_before = 0
         self.fault = None
         self.is_muted = False
+        self.sent_events = 0
         self.calls = []
 
     def put(self, key, value):
@@ -115,6 +116,7 @@
         ]
         if self.is_muted:
             events = []
+        self.sent_events += len(events)
         return web.json_response({"events": events, "StoreRevision": self.revision})
 
     def _item(self, key):
--- a/tests/platform_adapter/test_headers.py
+++ b/tests/platform_adapter/test_headers.py
@@ -98,13 +98,13 @@
             (b"Connection", b"close"),
         )
         head = PlatformDialect().answer(200, headers)
-        assert head.is_stamped and head.is_encoded and head.is_leaving
+        assert head.is_stamped and head.is_encoded
         assert head.at_fault == "10.0.0.1:80"
 
     def test_passed_on_without_framing(self):
         """Guard against a length of the worker's that no longer fits."""
         headers = ((b"Content-Length", b"5"), (b"Connection", b"close"), (b"A", b"b"))
-        assert PlatformDialect().passed_on(headers, is_stream=True) == [(b"a", b"b")]
+        assert PlatformDialect().passed_on(headers) == [(b"a", b"b")]
 
 
 class TestRefusal:
--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -37,7 +37,7 @@
         """Guard against a node that starts with half of what it needs."""
 
         async def test(stub, store):
-            snapshot = (await store.read(0)).ok
+            snapshot = (await store.read(0, 0)).ok
             assert snapshot.document.version == 3
             assert [entry.instance for entry in snapshot.entries] == ["i-1"]
             assert snapshot.store_revision == stub.revision
@@ -48,9 +48,11 @@
         """Guard against the whole configuration in each read."""
 
         async def test(stub, store):
-            await store.read(0)
+            first = (await store.read(0, 0)).ok
             stub.calls.clear()
-            assert (await store.read(3)).ok.document is None
+            second = (await store.read(3, first.document_revision)).ok
+            assert second.document is None
+            assert second.document_revision == first.document_revision
             assert sorted(stub.calls) == ["kv-range", "kv-watch"]
 
         with_store(test)
@@ -59,10 +61,38 @@
         """Guard against a node that keeps the first configuration."""
 
         async def test(stub, store):
-            await store.read(0)
+            since = (await store.read(0, 0)).ok.document_revision
             stub.put("op/config", config(5))
             stub.put("op/config", config(9))
-            assert (await store.read(3)).ok.document.version == 9
+            assert (await store.read(3, since)).ok.document.version == 9
+
+        with_store(test)
+
+    def test_documents_that_were_taken_are_not_sent_again(self):
+        """Guard against reads that grow with each change until they time out."""
+
+        async def test(stub, store):
+            since = (await store.read(0, 0)).ok.document_revision
+            for version in range(4, 12):
+                stub.put("op/config", config(version))
+                stub.sent_events = 0
+                snapshot = (await store.read(version - 1, since)).ok
+                assert snapshot.document.version == version
+                assert stub.sent_events == 1
+                since = snapshot.document_revision
+
+        with_store(test)
+
+    def test_another_node_continues_where_the_reader_was(self):
+        """Guard against a whole read by each node that takes over."""
+
+        async def test(stub, store):
+            since = (await store.read(0, 0)).ok.document_revision
+            other = PlatformStore(stub.address)
+            stub.calls.clear()
+            assert (await other.read(3, since)).ok.document is None
+            await other.close()
+            assert sorted(stub.calls) == ["kv-range", "kv-watch"]
 
         with_store(test)
 
@@ -70,13 +100,19 @@
         """Guard against a watch that hears nothing while history is dropped."""
 
         async def test(stub, store):
-            await store.read(0)
+            since = (await store.read(0, 0)).ok.document_revision
             stub.is_muted = True
             stub.put("op/config", config(5))
-            assert (await store.read(3)).ok.document is None
+            muted = (await store.read(3, since)).ok
+            assert muted.document is None
             stub.is_muted = False
             stub.drop_history()
-            assert (await store.read(3)).ok.document.version == 5
+            whole = (await store.read(3, muted.document_revision)).ok
+            assert whole.document.version == 5
+            # The list that came with it and the next changes are heard from there.
+            stub.put("op/config", config(6))
+            last = (await store.read(5, whole.document_revision)).ok
+            assert last.document.version == 6
 
         with_store(test)
 
@@ -85,7 +121,7 @@
 
         async def test(stub, store):
             stub.remove("op/config")
-            assert (await store.read(0)).ok.document is None
+            assert (await store.read(0, 0)).ok.document is None
 
         with_store(test)
 
@@ -94,7 +130,7 @@
 
         async def test(stub, store):
             stub.put("op/config", b"\x00not json")
-            snapshot = (await store.read(0)).ok
+            snapshot = (await store.read(0, 0)).ok
             assert snapshot.document is None
             assert len(snapshot.entries) == 1
 
@@ -105,7 +141,7 @@
 
         async def test(stub, store):
             stub.put("servers/i-0", b"\xff\xfe")
-            entries = (await store.read(0)).ok.entries
+            entries = (await store.read(0, 0)).ok.entries
             assert [entry.instance for entry in entries] == ["i-1"]
 
         with_store(test)
@@ -116,8 +152,8 @@
 
         async def test(stub, store):
             stub.fault = fault
-            assert (await store.read(0)).is_error()
+            assert (await store.read(0, 0)).is_error()
             stub.fault = None
-            assert (await store.read(0)).is_ok()
+            assert (await store.read(0, 0)).is_ok()
 
         with_store(test)
