Add a fault soak for the nodes of the users' platform

Runs nodes as processes, with relays on their paths, and draws faults from a seed: upstreams, paths, the store, the operator, signals. Checks promises from what clients and upstreams see.

Clocks are not disturbed.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup run test lint format types reference bench slopes lock proto clean
+.PHONY: setup run test lint format types reference bench slopes soak lock proto clean
 
 setup: $(STAMP)
 
@@ -43,6 +43,13 @@
 slopes: setup
 	$(PYTHON) -m dandelionpond_standins.slopes
 
+SEEDS ?= 1-5
+JOBS ?= 2
+
+# Runs nodes under random faults, one JSON line for each seed.
+soak: setup
+	$(PYTHON) tests/soak/soak.py --seeds $(SEEDS) --jobs $(JOBS)
+
 # Needs uv on the path. The lock records hashes and no download address.
 lock:
 	uv pip compile --quiet --generate-hashes --no-emit-index-url --no-annotate \
