Explain a failed request from the log lines of nodes

`dandelionpondctl explain ID FILES` prints the lines about a request, its cause in one sentence, and what its nodes learned before. Without files it asks the nodes for their records as before.

--- a/packages/dandelionpond-ctl/src/dandelionpond_ctl/explain.py
+++ b/packages/dandelionpond-ctl/src/dandelionpond_ctl/explain.py
@@ -2,6 +2,7 @@
 
 import sys
 from datetime import UTC, datetime
+from pathlib import Path
 from typing import Any
 from urllib.parse import quote
 
@@ -13,6 +14,7 @@
 from dandelionpond.routing.router import RouteInput
 from dandelionpond_ctl.exit_codes import FINDINGS, OK
 from dandelionpond_ctl.folder import CommandError, print_json, print_table
+from dandelionpond_ctl.history import history, read_lines, show
 from dandelionpond_ctl.nodes import DEFAULT_OPTIONS, NodeOptions, Reply, connect, run
 from dandelionpond_ctl.user_settings import wants_json
 
@@ -46,11 +48,15 @@
 def explain(
     request_id: str,
     /,
-    *,
+    *files: Path,
     options: NodeOptions = DEFAULT_OPTIONS,
     json: bool | None = None,
 ) -> int:
-    """Show each choice of an engine for a request, its time, and who was refused why.
+    """Show the history of one request: from log files, or from the nodes' records.
+
+    With files, the lines about the request are shown with its cause and with what its
+    nodes learned before. Without files the nodes are asked, and each choice of an
+    engine is shown, its time, and who was refused why.
 
     The identifier is that of the header `X-Request-Id` and of the error body. A node
     records the placement of a prompt on one engine, and only the latest ones. It does
@@ -61,9 +67,13 @@
     ----------
     request_id
         Identifier of the request.
+    files
+        Log files of any number of nodes; `/dev/stdin` is standard input.
     json
         Print JSON in place of tables.
     """
+    if files:
+        return _from_logs(request_id, files, json)
     replies = run(_ask(options, request_id))
     errors = {reply.node: reply.error for reply in replies if reply.error is not None}
     choices: list[Choice] = []
@@ -86,6 +96,17 @@
     return FINDINGS if errors else OK
 
 
+def _from_logs(request_id: str, files: tuple[Path, ...], json: bool | None) -> int:
+    found = history(request_id, read_lines(files))
+    if found is None:
+        raise CommandError(f"no line in these logs names {request_id}")
+    if wants_json(json):
+        print_json(found)
+    else:
+        show(found)
+    return OK
+
+
 def node_choices(reply: Reply, request_id: str) -> tuple[list[Choice], list[str]]:
     """Return the choices of exactly this request and the records that are unreadable.
 
