Serve latency histograms of streams and calls on the users' platform

The entry process counted outcomes and had no times: operators could not see a slow service. Time to first token by length class, time between events, time of plain calls, requests by kind and outcome, and errors by kind are on the metrics address. The two copies of the refusal of a request become one.

--- a/packages/dandelionpond/src/dandelionpond/entry/app.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/app.py
@@ -10,7 +10,7 @@
 from dandelionpond.entry.groups import Groups
 from dandelionpond.entry.incoming import Incoming, Reply
 from dandelionpond.entry.prompts import PromptForwarder
-from dandelionpond.errors import ANSWERS, ErrorKind
+from dandelionpond.errors import ErrorKind
 from dandelionpond.forwarding.messages import Headers
 from dandelionpond.published.messages import Account, Route
 from dandelionpond.published.table import RouteTable
@@ -83,7 +83,7 @@
         if not work.cancelled() and work.exception() is not None:
             log.error("request failed", exc_info=work.exception())
             if not reply.has_begun:
-                await self._refuse(reply, "", ErrorKind.INTERNAL)
+                await self._forwarder.refuse("", reply, ErrorKind.INTERNAL)
 
     async def _answer(
         self, scope: Any, body: bytes, reply: Reply, arrived_at: float
@@ -93,7 +93,9 @@
         table = self._forwarder.fleet.keeper.table
         if table is None or not self._forwarder.fleet.keeper.is_complete:
             kind = ErrorKind.SETTINGS_UNAVAILABLE
-            await self._refuse(reply, head.request_id, kind)
+            await self._forwarder.refuse(
+                head.request_id, reply, kind, NO_SETTINGS_RETRY_S
+            )
             return
         path = scope["raw_path"].decode("latin-1")
         found = _find(table, _host(headers), path, head.key)
@@ -106,7 +108,7 @@
                     "version": table.document.version,
                 },
             )
-            await self._refuse(reply, head.request_id, found)
+            await self._forwarder.refuse(head.request_id, reply, found)
             return
         route, account = found
         query = scope["query_string"].decode("latin-1")
@@ -130,13 +132,6 @@
         else:
             await self._calls.run(call, reply)
 
-    async def _refuse(self, reply: Reply, request_id: str, kind: ErrorKind) -> None:
-        self._forwarder.count(f"refused_{kind}")
-        answer = ANSWERS[kind]
-        wait = NO_SETTINGS_RETRY_S if answer.may_repeat else None
-        headers = self._forwarder.dialect.refusal(request_id, wait)
-        await reply.whole(answer.status, headers, f"{kind}\n".encode())
-
 
 def _find(
     table: RouteTable, host: str, path: str, key: str | None
--- a/packages/dandelionpond/src/dandelionpond/entry/attempts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/attempts.py
@@ -29,6 +29,7 @@
     TryAgain,
     after,
 )
+from dandelionpond.metrics import Metrics
 from dandelionpond.published.messages import UpstreamEntry
 
 log = logging.getLogger("dandelionpond.requests")
@@ -74,10 +75,13 @@
 class Forwarder:
     """Share connections, headers and the end of requests among the kinds of request."""
 
-    def __init__(self, fleet: Fleet, exchanger: Exchanger, dialect: Dialect) -> None:
+    def __init__(
+        self, fleet: Fleet, exchanger: Exchanger, dialect: Dialect, metrics: Metrics
+    ) -> None:
         self.fleet = fleet
         self.exchanger = exchanger
         self.dialect = dialect
+        self.metrics = metrics
         self.counters: dict[str, int] = {}
 
     def count(self, event: str) -> None:
@@ -172,28 +176,31 @@
                 assert failed is not None
                 await reply.whole(failed.status, failed.headers, failed.body)
             case Refuse(kind):
-                await self.refuse(call, reply, kind)
+                await self.refuse(call.head.request_id, reply, kind)
             case BreakOff():
                 self.count("broken_off")
         return False
 
     async def refuse(
         self,
-        call: Incoming,
+        request_id: str,
         reply: Reply,
         kind: ErrorKind,
         retry_after_s: float = RETRY_AFTER_S,
     ) -> None:
         """Answer with an error kind of this node's own."""
         self.count(f"refused_{kind}")
+        self.metrics.refusals.labels(kind).inc()
         answer = ANSWERS[kind]
         wait = retry_after_s if answer.may_repeat else None
-        headers = self.dialect.refusal(call.head.request_id, wait)
+        headers = self.dialect.refusal(request_id, wait)
         await reply.whole(answer.status, headers, f"{kind}\n".encode())
 
     def log_end(self, call: Incoming, reply: Reply, trace: Trace, why: str) -> None:
-        """Write the line that tells how a request went."""
+        """Count and write the line that tells how a request went."""
         now = self.fleet.now()
+        outcome = str(reply.status) if reply.is_complete else "incomplete"
+        self.metrics.requests.labels(call.route.kind, outcome).inc()
         age = self.fleet.keeper.age_s(now)
         log.info(
             "request ended",
--- a/packages/dandelionpond/src/dandelionpond/entry/calls.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/calls.py
@@ -51,7 +51,7 @@
                     kind = ErrorKind.NO_UPSTREAM
                     if progress.may_have_run:
                         kind = ErrorKind.UPSTREAM_FAILED
-                    await forwarder.refuse(call, reply, kind)
+                    await forwarder.refuse(call.head.request_id, reply, kind)
                     return
                 tried.add(entry.instance)
                 attempt = await self._attempt(call, entry, progress, reply, trace)
@@ -100,6 +100,7 @@
             took = fleet.now() - began
             line["took_s"] = round(took, 3)
         if attempt.outcome is None:
+            forwarder.metrics.call_time.observe(fleet.now() - call.arrived_at)
             expected = self._expected.get(call.service, FIRST_EXPECTED_S)
             fleet.answered(entry.instance, took, expected)
             self._expected[call.service] = expected + SAMPLE_WEIGHT * (took - expected)
--- a/packages/dandelionpond/src/dandelionpond/entry/process.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/process.py
@@ -76,14 +76,16 @@
             settings.fetch_address, self._sync.held, PeerSettings()
         )
         self._exchanger = Exchanger(settings.connect_timeout_s)
-        self._forwarder = Forwarder(self._fleet, self._exchanger, dialect)
+        self._metrics = Metrics()
+        self._forwarder = Forwarder(
+            self._fleet, self._exchanger, dialect, self._metrics
+        )
         self._groups = Groups(self._fleet, orders, self._tasks)
         self._app = EntryApp(
             self._forwarder, self._groups, self._arrived_at, self._is_leaving
         )
         self._fleet.jobs.on_change = self._mesh.tell_news
         self._drain = Drain(settings.shutdown)
-        self._metrics = Metrics()
         self._add_metrics()
         self._listener: HttpListener | None = None
         self._exit = asyncio.get_running_loop().create_future()
--- a/packages/dandelionpond/src/dandelionpond/entry/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/prompts.py
@@ -17,6 +17,7 @@
     Silent,
 )
 from dandelionpond.forwarding.policy import Progress
+from dandelionpond.metrics import length_class
 from dandelionpond.placement.choice import (
     FIRST_PATIENCE_FACTOR,
     LONG_READ_S,
@@ -112,7 +113,7 @@
         kind = ErrorKind.OVERLOADED
         if run.progress.may_have_run:
             kind = ErrorKind.UPSTREAM_FAILED
-        await self._forwarder.refuse(run.call, run.reply, kind)
+        await self._forwarder.refuse(run.call.head.request_id, run.reply, kind)
 
     async def _place(
         self, run: _Run, tried: frozenset[str]
@@ -295,6 +296,7 @@
     ) -> Outcome | None:
         """Pass events on until the end; return the outcome if it broke off."""
         fleet, call, reply = self._forwarder.fleet, run.call, run.reply
+        metrics = self._forwarder.metrics
         gap_target = call.route.gap_target_s
         stall = STALL_SHARE * patience_s(gap_target)
         main = entries[placement.main]
@@ -328,11 +330,16 @@
             waited = fleet.now() - now
             if is_writing:
                 run.longest_pause_s = max(run.longest_pause_s, waited)
+                metrics.token_gap.observe(waited)
                 is_late = waited > gap_target
             else:
                 is_writing = True
                 run.first_event_s = fleet.now() - sent_at
-                is_late = fleet.now() - call.arrived_at > call.route.target_s
+                since = fleet.now() - call.arrived_at
+                metrics.ttft.labels(length_class(call.head.prompt_tokens)).observe(
+                    since
+                )
+                is_late = since > call.route.target_s
                 fleet.jobs.write(call.key)
                 if not placement.helpers:
                     took = run.first_event_s
--- a/packages/dandelionpond/src/dandelionpond/metrics.py
+++ b/packages/dandelionpond/src/dandelionpond/metrics.py
@@ -14,6 +14,7 @@
 LENGTH_CLASSES = (4_000, 20_000, 100_000, 400_000)
 
 _TTFT_BUCKETS = (0.05, 0.1, 0.2, 0.53, 1, 2, 5, 10, 30, 60, 120, 300, 900, 3600)
+_CALL_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30)
 _GAP_BUCKETS = (0.005, 0.01, 0.02, 0.058, 0.1, 0.2, 0.5, 1, 5)
 
 
@@ -97,6 +98,12 @@
             buckets=_GAP_BUCKETS,
             registry=self.registry,
         )
+        self.call_time = Histogram(
+            "dandelionpond_call_seconds",
+            "Time from the arrival of a plain call to its complete answer.",
+            buckets=_CALL_BUCKETS,
+            registry=self.registry,
+        )
         self.tokens = Counter(
             "dandelionpond_tokens",
             "Tokens of prompts sent to engines and of answers relayed to callers.",
--- a/tests/platform_adapter/test_node.py
+++ b/tests/platform_adapter/test_node.py
@@ -471,3 +471,25 @@
         assert done.stdout == ""
         [line] = done.stderr.splitlines()
         assert line.startswith("dandelionpond: ") and expected in line
+
+
+class TestMetrics:
+    def test_latency_of_streams_and_calls(self):
+        """Guard against operators who see counts and no times."""
+
+        async def test(site):
+            for path in ("/call/", "/chat/", "/none/"):
+                await site.ask(path)
+            url = f"http://{site.settings.metrics_address}/metrics"
+            async with site.client.get(url) as answer:
+                text = await answer.text()
+            for sample in (
+                "dandelionpond_call_seconds_count 1.0",
+                'dandelionpond_time_to_first_token_seconds_count{length="le_4000"} 1.0',
+                'dandelionpond_requests_total{kind="stream",outcome="200"} 1.0',
+                'dandelionpond_errors_total{kind="unknown_path"} 1.0',
+            ):
+                assert sample in text
+            assert "dandelionpond_token_gap_seconds_count 0.0" not in text
+
+        on_site(test, app(), llm())
