Enforce the published limits of bodies and idle connections

The document's limits were decoded and not used: a client could fill a node's memory with a body or hold a connection with half of one, and an operator who lets connections stay idle for over 75 s had them closed under clients that may still reuse them. Each has a test that failed before.

--- a/packages/dandelionpond/src/dandelionpond/entry/app.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/app.py
@@ -12,7 +12,7 @@
 from dandelionpond.entry.prompts import PromptForwarder
 from dandelionpond.errors import ErrorKind
 from dandelionpond.forwarding.messages import Headers
-from dandelionpond.published.messages import Account, Route
+from dandelionpond.published.messages import Account, RequestLimits, Route
 from dandelionpond.published.table import RouteTable
 
 log = logging.getLogger("dandelionpond.requests")
@@ -66,9 +66,12 @@
         reply = Reply(send, self._is_leaving)
         arrived_at = self._arrived_at()
         try:
-            body = await _read_body(receive)
+            body = await self._read_body(receive)
         except ClientGone:
             return
+        if isinstance(body, ErrorKind):
+            await self._refuse_body(scope, reply, body)
+            return
         work = asyncio.create_task(self._answer(scope, body, reply, arrived_at))
         self._tasks.add(work)
         watch = asyncio.create_task(_departure(receive))
@@ -85,6 +88,36 @@
             if not reply.has_begun:
                 await self._forwarder.refuse("", reply, ErrorKind.INTERNAL)
 
+    async def _read_body(self, receive: Any) -> bytes | ErrorKind:
+        """Return the whole body, or why it was given up; raise ClientGone."""
+        table = self._forwarder.fleet.keeper.table
+        limits = RequestLimits() if table is None else table.document.limits
+        parts: list[bytes] = []
+        size = 0
+        try:
+            # One limit for the body as a whole: with one for each read, a client could
+            # hold a connection for as long as it sends a byte now and then.
+            async with asyncio.timeout(limits.idle_timeout_s):
+                while True:
+                    message = await receive()
+                    if message["type"] == "http.disconnect":
+                        raise ClientGone
+                    parts.append(message.get("body", b""))
+                    size += len(parts[-1])
+                    if size > limits.body_bytes:
+                        return ErrorKind.BODY_TOO_LARGE
+                    if not message.get("more_body", False):
+                        return b"".join(parts)
+        except TimeoutError:
+            return ErrorKind.BODY_TIMEOUT
+
+    async def _refuse_body(self, scope: Any, reply: Reply, kind: ErrorKind) -> None:
+        request_id = self._forwarder.dialect.request(tuple(scope["headers"])).request_id
+        log.info("request refused", extra={"request_id": request_id, "kind": kind})
+        # The rest of the body is not read.
+        reply.is_last = True
+        await self._forwarder.refuse(request_id, reply, kind)
+
     async def _answer(
         self, scope: Any, body: bytes, reply: Reply, arrived_at: float
     ) -> None:
@@ -154,17 +187,6 @@
     return ""
 
 
-async def _read_body(receive: Any) -> bytes:
-    parts = []
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            raise ClientGone
-        parts.append(message.get("body", b""))
-        if not message.get("more_body", False):
-            return b"".join(parts)
-
-
 async def _departure(receive: Any) -> None:
     while (await receive())["type"] != "http.disconnect":
         pass
--- a/packages/dandelionpond/src/dandelionpond/entry/incoming.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/incoming.py
@@ -61,18 +61,27 @@
 class Reply:
     """Send one answer to a client over ASGI."""
 
-    __slots__ = ("_is_leaving", "_send", "has_begun", "is_complete", "status")
+    __slots__ = (
+        "_is_leaving",
+        "_send",
+        "has_begun",
+        "is_complete",
+        "is_last",
+        "status",
+    )
 
     def __init__(self, send: Any, is_leaving: Any) -> None:
         self._send = send
         self._is_leaving = is_leaving
         self.has_begun = False
         self.is_complete = False
+        # Whether the connection ends with this answer.
+        self.is_last = False
         self.status = 0
 
     async def begin(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Send status and headers; a leaving node asks for a new connection."""
-        if self._is_leaving():
+        if self.is_last or self._is_leaving():
             headers = [*headers, (b"connection", b"close")]
         self.has_begun = True
         self.status = status
--- a/packages/dandelionpond/src/dandelionpond/entry/process.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/process.py
@@ -150,6 +150,9 @@
     async def _tick(self) -> None:
         self._pauses.tick(self._clock.monotonic())
         self._fleet.tick()
+        table = self._fleet.keeper.table
+        if table is not None and self._listener is not None:
+            self._listener.set_idle_timeout(table.document.limits.idle_timeout_s)
 
     async def _beat(self) -> None:
         self._mesh.tick()
--- a/packages/dandelionpond/src/dandelionpond/http/server.py
+++ b/packages/dandelionpond/src/dandelionpond/http/server.py
@@ -176,6 +176,10 @@
                 raise RuntimeError("the HTTP listener ended while it started")
             await asyncio.sleep(0.005)
 
+    def set_idle_timeout(self, seconds: float) -> None:
+        """Set how long connections accepted from now on may be idle."""
+        self._config.timeout_keep_alive = max(1, round(seconds))
+
     def reload_tls(self, tls: TlsFiles) -> None:
         """Read certificate and key again; open connections keep the old ones.
 
--- a/tests/platform_adapter/platform_stubs.py
+++ b/tests/platform_adapter/platform_stubs.py
@@ -24,8 +24,9 @@
 }
 
 
-def config(version, keys=("k1",), routes=ROUTES):
+def config(version, keys=("k1",), routes=ROUTES, **limits):
     return {
+        "Limits": limits,
         "Version": version,
         "Routes": [
             {
--- a/tests/platform_adapter/test_node.py
+++ b/tests/platform_adapter/test_node.py
@@ -473,6 +473,67 @@
         assert line.startswith("dandelionpond: ") and expected in line
 
 
+class TestLimits:
+    def test_body_over_the_published_limit(self):
+        """Guard against a client that fills a node's memory."""
+        worker = app()
+
+        async def test(site):
+            site.store.put("op/config", config(2, MaxBodyBytes=3))
+
+            async def is_refused():
+                return (await site.ask("/call/"))[0] == 413
+
+            await site.until(is_refused)
+            sent = len(worker.requests)
+            status, headers, _ = await site.ask("/call/")
+            assert (status, headers["Connection"]) == (413, "close")
+            assert len(worker.requests) == sent
+
+        on_site(test, worker)
+
+    def test_body_that_does_not_come(self):
+        """Guard against connections that wait for a body for good."""
+
+        async def test(site):
+            site.store.put("op/config", config(2, IdleTimeoutMs=300))
+
+            async def answer():
+                host, _, port = site.settings.front_address.rpartition(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(
+                    b"POST /call/ HTTP/1.1\r\nHost: a.example\r\n"
+                    b"Content-Length: 9\r\n\r\nhalf"
+                )
+                try:
+                    async with asyncio.timeout(2.0):
+                        return await reader.read()
+                except TimeoutError:
+                    return b""
+                finally:
+                    writer.close()
+
+            async def is_refused():
+                return (await answer()).startswith(b"HTTP/1.1 408 ")
+
+            await site.until(is_refused)
+
+        on_site(test, app())
+
+    def test_idle_connections_follow_the_published_limit(self):
+        """Guard against a connection closed while its client may still reuse it."""
+
+        async def test(site):
+            site.store.put("op/config", config(2, IdleTimeoutMs=120_000))
+
+            async def is_set():
+                return site.node._listener._config.timeout_keep_alive == 120
+
+            await site.until(is_set)
+
+        on_site(test, app())
+
+
 class TestMetrics:
     def test_latency_of_streams_and_calls(self):
         """Guard against operators who see counts and no times."""
