--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup run test lint format types reference bench slopes soak lock proto clean
+.PHONY: setup run test lint format types reference bench days slopes soak lock proto clean
 
 setup: $(STAMP)
 
@@ -40,6 +40,10 @@
 bench: setup
 	$(PYTHON) -m dandelionpond_standins.bench
 
+# Replays the prompts of heavy days in the time of a model of the engines.
+days: setup
+	$(PYTHON) -m dandelionpond_standins.days
+
 slopes: setup
 	$(PYTHON) -m dandelionpond_standins.slopes
 
--- /dev/null
+++ b/packages/standins/src/dandelionpond_standins/days/__init__.py
@@ -0,0 +1,1 @@
+"""Replay the arrivals of heavy days through the decisions of placement."""
--- /dev/null
+++ b/packages/standins/src/dandelionpond_standins/days/engines.py
@@ -0,0 +1,100 @@
+"""Model an engine of the users' platform by its published passes.
+
+A pass with writing requests takes `stride` token steps and gives each of them one
+event; without one it takes a single step. Each step reads up to `CHUNK_TOKENS` of the
+parts that wait, the newest first, and the time for reading is added to the pass.
+"""
+
+from collections.abc import Callable
+
+from dandelionpond.placement.engine_time import stride_s
+from dandelionpond.published.messages import EngineModel
+
+# Tokens that one step reads at most, from the published model of the sites.
+CHUNK_TOKENS = 2_048
+
+
+class Part:
+    """Hold a part of a prompt that an engine reads; `done` is called at its end."""
+
+    __slots__ = ("done", "left", "token_s")
+
+    def __init__(self, tokens: float, read_s: float, done: Callable[[], None]) -> None:
+        self.left = tokens
+        self.token_s = read_s / tokens
+        self.done = done
+
+
+class Stream:
+    """Hold a writing request; `event` is called for each event, the last with True."""
+
+    __slots__ = ("context_tokens", "event", "events_left")
+
+    def __init__(
+        self, events: int, context_tokens: int, event: Callable[[bool], None]
+    ) -> None:
+        self.events_left = events
+        self.context_tokens = context_tokens
+        self.event = event
+
+
+class PassEngine:
+    """Work off parts and streams; times are in seconds of the replay."""
+
+    __slots__ = ("_at", "_is_running", "_model", "_parts", "_streams", "busy_s")
+
+    def __init__(
+        self, model: EngineModel, at: Callable[[float, Callable[[], None]], None]
+    ) -> None:
+        self._model = model
+        self._at = at
+        self._parts: list[Part] = []
+        self._streams: list[Stream] = []
+        self._is_running = False
+        self.busy_s = 0.0
+
+    def read(self, part: Part) -> None:
+        """Begin to read a part."""
+        self._parts.append(part)
+        self._run()
+
+    def write(self, stream: Stream) -> None:
+        """Begin to write an answer."""
+        self._streams.append(stream)
+        self._run()
+
+    def _run(self) -> None:
+        if self._is_running or not (self._parts or self._streams):
+            return
+        self._is_running = True
+        streams = list(self._streams)
+        context = sum(one.context_tokens for one in streams)
+        steps = self._model.stride if streams else 1
+        took = stride_s(self._model, len(streams), context) or self._model.step_s
+        room = float(CHUNK_TOKENS * steps)
+        read = []
+        for part in reversed(self._parts):
+            tokens = min(room, part.left)
+            room -= tokens
+            took += tokens * part.token_s
+            read.append((part, tokens))
+            if room <= 0:
+                break
+        self.busy_s += took
+        self._at(took, lambda: self._end(streams, read))
+
+    def _end(self, streams: list[Stream], read: list[tuple[Part, float]]) -> None:
+        self._is_running = False
+        for part, tokens in read:
+            part.left -= tokens
+        finished = [part for part in self._parts if part.left <= 0]
+        self._parts = [part for part in self._parts if part.left > 0]
+        for stream in streams:
+            stream.events_left -= 1
+            if stream.events_left <= 0:
+                self._streams.remove(stream)
+        for stream in streams:
+            stream.event(stream.events_left <= 0)
+        for part in finished:
+            part.done()
+        self._run()
--- /dev/null
+++ b/packages/standins/src/dandelionpond_standins/days/replay.py
@@ -0,0 +1,381 @@
+"""Replay a day's prompts with many nodes, each with its own picture of the work.
+
+Placement and the book of outstanding jobs are the product's own code; the waits around
+them follow `entry/prompts.py` and share its constants. No upstream fails here; plain
+calls are left out.
+"""
+
+import heapq
+import json
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from dandelionpond.entry.fleet import GROUP_MEMORY, GROUP_TOKENS
+from dandelionpond.entry.prompts import (
+    HOLD_SHARE,
+    LOOK_S,
+    MAX_EXTRA_HOLD_S,
+    WAIT_SHARE,
+)
+from dandelionpond.placement.choice import (
+    LATE_SHARE,
+    Engine,
+    Prompt,
+    PromptPlacement,
+    place_group,
+    place_prompt,
+)
+from dandelionpond.placement.engine_time import read_s
+from dandelionpond.placement.jobs import Job, JobBook, Phase
+from dandelionpond.published.messages import EngineModel
+from dandelionpond_standins.days.engines import Part, PassEngine, Stream
+
+DAYS = Path(__file__).parent
+# Time in seconds until a message is at an engine or another node, and until the news of
+# a change is sent.
+NETWORK_S = 0.0014
+NEWS_S = 0.001
+WINDOW_S = 2.0
+# Tokens of the prompts whose arrivals begin and end the spans of `forced_loss`.
+LONG_TOKENS = 60_000
+
+
+class Kind(msgspec.Struct, frozen=True):
+    """Describe a kind of prompt; times in seconds, `value` when it is in time."""
+
+    target_s: float
+    gap_target_s: float
+    timeout_s: float
+    value: float
+
+
+class Arrival(msgspec.Struct, frozen=True, array_like=True):
+    """Describe one prompt: when, of which kind, its tokens, events and node."""
+
+    at: float
+    kind: str
+    tokens: int
+    events: int
+    node: int
+
+
+class Day(msgspec.Struct, frozen=True):
+    """Hold the arrivals of a day and what they meet."""
+
+    name: str
+    engines: int
+    nodes: int
+    model: EngineModel
+    kinds: dict[str, Kind]
+    arrivals: tuple[Arrival, ...]
+
+
+class Fate(msgspec.Struct):
+    """Hold what became of a prompt; `outcome` is in_time, late or refused."""
+
+    arrival: Arrival
+    outcome: str = "refused"
+    first_s: float | None = None
+    pause_s: float = 0.0
+
+
+def load_day(name: str) -> Day:
+    """Return a day by its name; raise FileNotFoundError if there is none."""
+    return msgspec.json.decode((DAYS / f"{name}.json").read_bytes(), type=Day)
+
+
+class Replay:
+    """Own the time, the engines and the nodes of one replay."""
+
+    def __init__(self, day: Day, network_s: float = NETWORK_S) -> None:
+        self.day = day
+        self.now = 0.0
+        self.network_s = network_s
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = 0
+        self.engines = [PassEngine(day.model, self.after) for _ in range(day.engines)]
+        self.nodes = [_Node(self, number) for number in range(day.nodes)]
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Perform an action later."""
+        self._count += 1
+        heapq.heappush(self._queue, (self.now + delay_s, self._count, action))
+
+    def run(self) -> list[Fate]:
+        """Return the fates of all prompts in the order of their arrival."""
+        fates = []
+        for number, arrival in enumerate(self.day.arrivals):
+            fate = Fate(arrival)
+            fates.append(fate)
+            run = _Run(self, self.nodes[arrival.node], str(number), fate)
+            self.after(arrival.at, run.place)
+        while self._queue:
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+        return fates
+
+
+class _Node:
+    """Hold one node's picture and tell the others of its changes."""
+
+    def __init__(self, replay: Replay, number: int) -> None:
+        self._replay = replay
+        self._name = f"n{number}"
+        self._has_news = False
+        self.book = JobBook()
+        self.book.on_change = self._changed
+
+    def candidates(self) -> list[Engine]:
+        now = self._replay.now
+        names = map(str, range(len(self._replay.engines)))
+        return [
+            Engine(name, position, self.book.load(name, now))
+            for position, name in enumerate(names)
+        ]
+
+    def _changed(self) -> None:
+        if not self._has_news:
+            self._has_news = True
+            self._replay.after(NEWS_S, self._tell)
+
+    def _tell(self) -> None:
+        self._has_news = False
+        jobs = self.book.own_jobs(self._replay.now)
+        for node in self._replay.nodes:
+            if node is not self:
+                self._replay.after(self._replay.network_s, _Hear(self, node, jobs))
+
+    @property
+    def name(self) -> str:
+        return self._name
+
+    def hear(self, name: str, jobs: tuple[Job, ...]) -> None:
+        self.book.hear(name, jobs, self._replay.now)
+
+
+class _Hear:
+    """Deliver one message."""
+
+    __slots__ = ("_jobs", "_sender", "_to")
+
+    def __init__(self, sender: _Node, to: _Node, jobs: tuple[Job, ...]) -> None:
+        self._sender, self._to, self._jobs = sender, to, jobs
+
+    def __call__(self) -> None:
+        self._to.hear(self._sender.name, self._jobs)
+
+
+class _Run:
+    """Follow one prompt from its arrival to its last event."""
+
+    def __init__(self, replay: Replay, node: _Node, request: str, fate: Fate) -> None:
+        self._replay = replay
+        self._node = node
+        self._request = request
+        self._fate = fate
+        self._kind = replay.day.kinds[fate.arrival.kind]
+        self._deadline_at = fate.arrival.at + self._kind.timeout_s
+        self._parts_left = 0
+        self._sent_at = 0.0
+        self._event_at = 0.0
+        self._answer_tokens = fate.arrival.events * replay.day.model.stride
+
+    def place(self) -> None:
+        """Place the prompt, or look again a moment later."""
+        now, arrival = self._replay.now, self._fate.arrival
+        target = self._kind.target_s - (now - arrival.at)
+        gap = self._kind.gap_target_s
+        prompt = Prompt(arrival.tokens, self._answer_tokens, target, gap)
+        engines, model = self._node.candidates(), self._replay.day.model
+        placement = place_prompt(prompt, engines, model)
+        if placement is None and prompt.tokens > GROUP_TOKENS:
+            placement = place_group(prompt, engines, model, GROUP_MEMORY)
+        if placement is None:
+            if now - arrival.at < WAIT_SHARE * self._kind.timeout_s:
+                self._replay.after(LOOK_S, self.place)
+            return
+        jobs = _jobs(prompt, placement)
+        self._node.book.start(self._request, jobs, now)
+        if placement.start_in_s > 0:
+            latest = now + HOLD_SHARE * (self._deadline_at - now)
+            self._hold(placement, now + placement.start_in_s, latest)
+        else:
+            self._send(placement)
+
+    def _hold(
+        self, placement: PromptPlacement, planned_at: float, latest: float
+    ) -> None:
+        now, book = self._replay.now, self._node.book
+        end = book.reads_before_end_at(self._request, now)
+        if end is None or now >= min(latest, max(end, planned_at) + MAX_EXTRA_HOLD_S):
+            book.send(self._request, now)
+            self._send(placement)
+            return
+        self._replay.after(LOOK_S, lambda: self._hold(placement, planned_at, latest))
+
+    def _send(self, placement: PromptPlacement) -> None:
+        names = (placement.main, *placement.helpers)
+        self._parts_left = len(names)
+        tokens = self._fate.arrival.tokens / len(names)
+        main = self._replay.engines[int(placement.main)]
+        for name in names:
+            engine = self._replay.engines[int(name)]
+            part = Part(tokens, placement.part_read_s, lambda: self._read(main))
+            self._replay.after(self._replay.network_s, _Read(engine, part))
+
+    def _read(self, main: PassEngine) -> None:
+        self._parts_left -= 1
+        if self._parts_left == 0:
+            arrival = self._fate.arrival
+            # The first token comes with the last part, the first event with it.
+            events = max(1, arrival.events)
+            self._event(is_last=events == 1)
+            if events > 1:
+                main.write(Stream(events - 1, arrival.tokens, self._event))
+
+    def _event(self, is_last: bool) -> None:
+        now, fate, book = self._replay.now, self._fate, self._node.book
+        if fate.first_s is None:
+            fate.first_s = now + self._replay.network_s - fate.arrival.at
+            fate.outcome = "in_time" if fate.first_s <= self._kind.target_s else "late"
+            book.write(self._request)
+        else:
+            fate.pause_s = max(fate.pause_s, now - self._event_at)
+            if fate.pause_s > self._kind.gap_target_s:
+                fate.outcome = "late"
+        if fate.outcome == "late":
+            book.miss(self._request)
+        self._event_at = now
+        if is_last:
+            book.end(self._request)
+
+
+class _Read:
+    """Deliver one part."""
+
+    __slots__ = ("_engine", "_part")
+
+    def __init__(self, engine: PassEngine, part: Part) -> None:
+        self._engine, self._part = engine, part
+
+    def __call__(self) -> None:
+        self._engine.read(self._part)
+
+
+def _jobs(prompt: Prompt, placement: PromptPlacement) -> list[Job]:
+    age, part = -placement.start_in_s, placement.part_read_s
+    is_held = placement.start_in_s > 0
+    reserved = {part.engine: part.tokens for part in placement.reserved}
+    context = prompt.tokens // max(1, len(reserved))
+    main = Job(
+        placement.main,
+        Phase.READING,
+        age,
+        part,
+        context,
+        reserved.get(placement.main, prompt.memory_tokens),
+        prompt.gap_target_s,
+        prompt.value,
+        is_held=is_held,
+    )
+    return [
+        main,
+        *(
+            Job(
+                name,
+                Phase.HELPING,
+                age,
+                part,
+                context if name in reserved else 0,
+                reserved.get(name, 0),
+                is_held=is_held,
+            )
+            for name in placement.helpers
+        ),
+    ]
+
+
+def measure(day: Day, fates: Sequence[Fate]) -> dict[str, Any]:
+    """Return counts and times by kind and the worst window's part of its value."""
+    kinds = {}
+    for name, kind in day.kinds.items():
+        mine = [fate for fate in fates if fate.arrival.kind == name]
+        first = sorted(fate.first_s for fate in mine if fate.first_s is not None)
+        outcomes = [fate.outcome for fate in mine]
+        kinds[name] = {
+            "asked": len(mine),
+            "in_time": outcomes.count("in_time"),
+            "late": outcomes.count("late"),
+            "refused": outcomes.count("refused"),
+            "first_p50_s": round(_quantile(first, 0.5), 3),
+            "first_p95_s": round(_quantile(first, 0.95), 3),
+            "slow_pauses": sum(one.pause_s > kind.gap_target_s for one in mine),
+        }
+    windows: dict[int, list[Fate]] = {}
+    for fate in fates:
+        windows.setdefault(int(fate.arrival.at // WINDOW_S), []).append(fate)
+    served = {window: _served(day, found) for window, found in windows.items()}
+    worst = min(served, key=lambda window: served[window])
+    return {
+        "day": day.name,
+        "kinds": kinds,
+        "served": round(_served(day, fates), 3),
+        "worst_window": {
+            "from_s": worst * WINDOW_S,
+            "served": round(served[worst], 3),
+        },
+    }
+
+
+def forced_loss(day: Day) -> float:
+    """Return the part of the value that no choice could bring, by engine time alone.
+
+    The prompts of any span need their reading between its start and the last target
+    after its end. What does not fit is late at best, the dearest for its value first.
+    Passes, memory, the order of parts and the targets of pauses are left out, so this
+    is a bound from below and may be far under what is reached.
+    """
+    total = sum(day.kinds[one.kind].value for one in day.arrivals)
+    reach = max(kind.target_s for kind in day.kinds.values())
+    work = [
+        (one.at, read_s(day.model, one.tokens), day.kinds[one.kind].value)
+        for one in day.arrivals
+    ]
+    starts = sorted({one.at for one in day.arrivals if one.tokens >= LONG_TOKENS})
+    worst = 0.0
+    for index, start in enumerate(starts):
+        for end in starts[index:]:
+            room = day.engines * (end - start + reach)
+            span = [(s, v) for at, s, v in work if start <= at <= end]
+            lost = 0.0
+            for seconds, value in sorted(span, key=_seconds_for_value):
+                lost += value * max(0.0, 1.0 - max(0.0, room) / seconds)
+                room -= seconds
+            worst = max(worst, lost)
+    return worst * (1.0 - LATE_SHARE) / total
+
+
+def _seconds_for_value(work: tuple[float, float]) -> float:
+    return work[0] / work[1]
+
+
+def _served(day: Day, fates: Sequence[Fate]) -> float:
+    """Return the part of the value of prompts that they brought."""
+    shares = {"in_time": 1.0, "late": LATE_SHARE, "refused": 0.0}
+    values = [day.kinds[fate.arrival.kind].value for fate in fates]
+    brought = sum(
+        value * shares[fate.outcome] for value, fate in zip(values, fates, strict=True)
+    )
+    return brought / sum(values)
+
+
+def _quantile(ordered: Sequence[float], share: float) -> float:
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0.0
+
+
+def line(figures: dict[str, Any]) -> str:
+    """Return figures as one line of JSON."""
+    return json.dumps(figures)
