Fetch from the own failure domain while another one's news wait

Cause, found in reading: the wait of 0.3 s before a fetch from another failure domain counted as a fetch, so news of the own reader in that time were passed over and the far fetch followed. The wait is a timer now.

--- a/packages/dandelionpond/src/dandelionpond/entry/process.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/process.py
@@ -121,6 +121,7 @@
         code: int = await self._exit
         assert self._listener is not None
         await self._snapshots.stop()
+        self._sync.close()
         await self._tasks.cancel()
         self._mesh.close()
         await self._exchanger.close()
--- a/packages/dandelionpond/src/dandelionpond/entry/sync.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/sync.py
@@ -51,6 +51,8 @@
         self._pace = ReadPace()
         self._is_reading = False
         self._is_fetching = False
+        # Set while news from another failure domain wait for the own one's reader.
+        self._far: asyncio.TimerHandle | None = None
         self._has_store: bool | None = None
         self._was_reader = False
         self.on_news = self._ignore
@@ -75,7 +77,26 @@
             beat.list_revision, beat.digest, read_at
         ):
             return
-        if self._is_newer(beat) and not self._is_fetching:
+        if not self._is_newer(beat):
+            return
+        if beat.failure_domain == fleet.settings.failure_domain:
+            self._fetch_once(beat)
+        elif self._far is None:
+            loop = asyncio.get_running_loop()
+            self._far = loop.call_later(FAR_DELAY_S, self._fetch_far, beat)
+
+    def close(self) -> None:
+        """Stop waiting for the own failure domain's reader."""
+        if self._far is not None:
+            self._far.cancel()
+
+    def _fetch_far(self, beat: Beat) -> None:
+        self._far = None
+        if self._is_newer(beat):
+            self._fetch_once(beat)
+
+    def _fetch_once(self, beat: Beat) -> None:
+        if not self._is_fetching:
             self._is_fetching = True
             self._tasks.spawn(self._fetch(beat), "fetch-snapshot")
 
@@ -144,15 +165,10 @@
                 log.warning("platform lost", extra={"why": found.error.message})
 
     async def _fetch(self, beat: Beat) -> None:
+        self.counters["fetches"] += 1
         fleet = self._fleet
-        is_far = beat.failure_domain != fleet.settings.failure_domain
+        begun_at = fleet.now()
         try:
-            if is_far:
-                await asyncio.sleep(FAR_DELAY_S)
-                if not self._is_newer(beat):
-                    return
-            self.counters["fetches"] += 1
-            begun_at = fleet.now()
             reply = await fetch_snapshot(
                 beat.fetch_address,
                 fleet.settings.name,
@@ -164,8 +180,9 @@
         match reply:
             case Result(tag="ok", ok=(snapshot, age_s)):
                 changed = fleet.take(snapshot, begun_at - age_s, f"peer {beat.node}")
-                # Peers of the domain have heard the one that this came from.
-                if changed and is_far:
+                # Peers of the own domain have heard the one that this came from.
+                is_near = beat.failure_domain == fleet.settings.failure_domain
+                if changed and not is_near:
                     self.on_news()
             case Result(error=failure):
                 self.counters["failed_fetches"] += 1
