Start prompts until three are in progress in the test of silent upstreams

Cause: the test waits until three prompts with a deadline of 1.5 s are at engines. A prompt that a stalled node has not sent by its deadline is rightly refused, and then the condition can never hold.

The test starts others until three are in progress at once; what it then asserts is unchanged.

--- a/packages/standins/tests/test_proof_deadlines.py
+++ b/packages/standins/tests/test_proof_deadlines.py
@@ -47,6 +47,25 @@
     return await work, time.monotonic() - start
 
 
+async def three_running(stack, prompt):
+    """Return three prompts that engines have and that are not answered.
+
+    On a machine that stalls for longer than their deadline some are never sent, which
+    is right, so others are started until three are in progress at once.
+    """
+    for attempt in range(20):
+        before = sum((await received(stack)).values())
+        running = [
+            asyncio.create_task(prompt(f"running-{attempt}-{n}")) for n in range(3)
+        ]
+        while not any(task.done() for task in running):
+            if sum((await received(stack)).values()) >= before + 3:
+                return running
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*running)
+    raise AssertionError("three prompts were never in progress at once")
+
+
 def signal_engines(stack, number):
     """Send a signal to all engines."""
     for child in stack.engines.values():
@@ -89,12 +108,7 @@
             # has not read yet and with some in progress on a silent engine.
             for child in stack.engines.values():
                 await stack.control(child, "stream", {"kind": "silence", "streams": 9})
-            running = [asyncio.create_task(prompt(f"running-{n}")) for n in range(3)]
-
-            async def are_running():
-                return sum((await received(stack)).values()) >= 3
-
-            await wait_until(are_running)
+            running = await three_running(stack, prompt)
             ticket = await get_ticket(stack.session, url, KEY, PAYMENT)
             node = stack.nodes[NODE]
             node.send_signal(signal.SIGSTOP)
