--- a/packages/dandelionpond/src/dandelionpond/entry/settings.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/settings.py
@@ -20,7 +20,7 @@
     `fetch_address` for gRPC, `seeds` holds datagram addresses of some nodes.
     `grace_s` is the time between the signal of a planned stop and the kill,
     `connect_timeout_s` the longest time for a connection to an upstream to open.
-    `capacity` is what the machine can do for its peers, in percent of a usual one.
+    `capacity` is what the VM can do for its peers, in percent of a usual one.
     """
 
     name: str
--- a/packages/dandelionpond/src/dandelionpond/mesh/messages.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/messages.py
@@ -36,7 +36,7 @@
     sender hears. `wants_answer` asks for a beat in return at once. `is_to_relay` asks
     the receiver to pass the beat on within its failure domain; `address` is the
     datagram address of the node that the beat is about. `capacity` is the sender's, in
-    percent of a usual machine.
+    percent of a usual VM.
     """
 
     node: str
--- a/packages/dandelionpond/src/dandelionpond/peer/tests/test_snapshots.py
+++ b/packages/dandelionpond/src/dandelionpond/peer/tests/test_snapshots.py
@@ -30,7 +30,7 @@
 # As many routes as the largest documents seen, plus a reserve.
 MANY_ROUTES = 3_000
 # Peers of a failure domain that fetch one document, and the time for it over the
-# slowest link of a machine that serves others.
+# slowest link of a VM that serves others.
 PEERS = 40
 LINK_BYTES_PER_S = 100e6 / 8
 SHARE_S = 0.5
--- a/packages/dandelionpond/src/dandelionpond/published/readers.py
+++ b/packages/dandelionpond/src/dandelionpond/published/readers.py
@@ -20,7 +20,7 @@
 
 
 class Candidate(msgspec.Struct, frozen=True):
-    """Name a node that may read; `capacity` is in percent of a usual machine."""
+    """Name a node that may read; `capacity` is in percent of a usual VM."""
 
     name: str
     failure_domain: str
@@ -30,8 +30,8 @@
 def place_of(name: str, failure_domain: str, nodes: Iterable[Candidate]) -> int:
     """Return a node's place in the order of its failure domain's readers.
 
-    The node at place 0 reads; the others follow if it is silent. Larger machines come
-    first, because the reader also serves its peers, then rendezvous hashing decides.
+    The node at place 0 reads; the others follow if it is silent. Larger VMs come first,
+    because the reader also serves its peers, then rendezvous hashing decides.
     All nodes with the same view of who is live find the same order; a different view
     costs a second reader for a while, which does no harm.
     """
--- a/packages/dandelionpond/src/dandelionpond/published/tests/test_readers.py
+++ b/packages/dandelionpond/src/dandelionpond/published/tests/test_readers.py
@@ -31,7 +31,7 @@
         far = nodes(*(f"x{number}" for number in range(9)), domain="b")
         assert place_of("n", "a", [*far, *nodes("n")]) == 0
 
-    def test_small_machines_come_last(self):
+    def test_small_vms_come_last(self):
         """Guard against a slow link that the whole domain waits for."""
         fleet = [Candidate(f"n{n}", "a", 7 + n) for n in range(9)]
         order = sorted(fleet, key=lambda one: place_of(one.name, "a", fleet))
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -41,7 +41,7 @@
         [(0.731, 350.0, 73), (2.15, 7.0, 7), (2.0, 350.0, 200), (0.001, 0.001, 1)],
     )
     def test_capacity_is_the_scarcer_resource(self, share, link, capacity):
-        """Guard against a machine with a slow link that others rely on."""
+        """Guard against a VM with a slow link that others rely on."""
         limits = f"Limits.CpuShare={share}\nLimits.LinkMbps={link}\n"
         assert read_settings(TEXT + limits).capacity == capacity
         assert read_settings(TEXT).capacity == 100
--- a/tests/soak/soak_world.py
+++ b/tests/soak/soak_world.py
@@ -6,7 +6,7 @@
 import sys
 from pathlib import Path
 
-from platform_stubs import ENGINE, StubStore
+from platform_stubs import StubStore, config
 from soak_upstreams import Runs, Upstream
 
 from dandelionpond_standins.relay import Relay, Rule
@@ -24,34 +24,16 @@
 
 
 def document(version):
-    """Return a document with routes of its own and the last versions."""
+    """Return a document with routes of its own and of the last versions."""
+    more = {"MaxAttempts": 3, "TimeoutMs": TIMEOUT_MS}
     routes = [
-        ("call", "/call/", "idempotent", "app", {"MaxAttempts": 3}),
-        ("pay", "/pay/", "non_idempotent", "app", {"MaxAttempts": 3}),
-        ("chat", "/chat/", "stream", "llm", {"MaxAttempts": 3, "Resumable": True}),
+        ("call", "/call/", "idempotent", more),
+        ("pay", "/pay/", "non_idempotent", more),
+        ("chat", "/chat/", "stream", more | {"Resumable": True}),
     ]
     for kept in range(max(1, version - KEPT_VERSIONS + 1), version + 1):
-        more = {"MaxAttempts": 3}
-        routes.append((f"v{kept}", f"/v{kept}/", "idempotent", "app", more))
-    return {
-        "Version": version,
-        "Routes": [
-            {
-                "Name": name,
-                "Host": "a.example",
-                "Prefix": prefix,
-                "RouteType": kind,
-                "TimeoutMs": TIMEOUT_MS,
-                "TargetLatencyMs": 500,
-                "GapAimMs": 300,
-                "Service": service,
-                **more,
-            }
-            for name, prefix, kind, service, more in routes
-        ],
-        "Services": [{"Name": "llm", "Engine": ENGINE}, {"Name": "app"}],
-        "Tenants": [{"Name": "shop", "ApiKeys": ["k1"]}],
-    }
+        routes.append((f"v{kept}", f"/v{kept}/", "idempotent", more))
+    return config(version, routes=routes)
 
 
 class Node:
