--- a/packages/dandelionpond/src/dandelionpond/entry/tests/test_sync.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/tests/test_sync.py
@@ -16,6 +16,8 @@
 from dandelionpond.mesh.messages import Beat
 from dandelionpond.published.messages import RoutingDocument, Snapshot
 
+# Time in seconds in which the scenario must end at all; no bound of the product.
+PATIENCE_S = 20.0
 SETTINGS = EntrySettings(
     name="n1",
     failure_domain="a",
@@ -80,7 +82,11 @@
             node.on_news = lambda: news.append(fleet.keeper.version)
             for one in beats:
                 node.heard(one)
-            await asyncio.sleep(0.15)
+            # A busy machine may take any time for the wait and the fetches.
+            async with asyncio.timeout(PATIENCE_S):
+                while node._far is not None or node._is_fetching:  # noqa: ASYNC110
+                    await asyncio.sleep(0.01)
+            await asyncio.gather(*tasks.all)
             node.close()
             return asked, news, fleet.keeper.version
 
