--- a/packages/dandelionpond/src/dandelionpond/adapters/platform.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/platform.py
@@ -231,18 +231,18 @@
 async def read_folder(
     client: PlatformClient,
     prefix: str,
-    known_values: Mapping[str, Value],
+    known: Folder,
     max_rounds: int = MAX_FOLDER_READ_ROUNDS,
 ) -> Result[Folder, PlatformError]:
     """Read all files of a folder at one revision, in at most `max_rounds` rounds.
 
     Both the listing and each file state the revision that wrote the file. If all files
     match the revisions in the listing, they form a consistent copy, and no second
-    listing is needed. `known_values` contains the files of the previous read, by name
-    without the prefix; files with an unchanged revision are not read again. Files read
-    in one round are kept for the next.
+    listing is needed. `known` is an earlier copy of the folder, by name without the
+    prefix; files that have not changed since its revision are not read again. Files
+    read in one round are kept for the next.
     """
-    values = dict(known_values)
+    values = dict(known.values)
     listed = await client.list_files(prefix)
     for _ in range(max_rounds):
         if listed.is_error():
@@ -254,8 +254,11 @@
                 text = f"{key} at revision {revision} in a list at {listing.revision}"
                 return _failure(PlatformFault.INVALID, text)
             listed_revisions[key.removeprefix(prefix)] = revision
+        known_revision = known.revision if known.revision <= listing.revision else 0
         values = {
-            name: value for name, value in values.items() if name in listed_revisions
+            name: _confirm(value, listed_revisions[name], known_revision)
+            for name, value in values.items()
+            if name in listed_revisions
         }
         error = await _read_changed(client, prefix, listed_revisions, values)
         if error is not None:
@@ -272,6 +275,16 @@
     )
 
 
+def _confirm(value: Value, listed_revision: int, known_revision: int) -> Value:
+    """Return a value with its listed revision if the file has not changed since.
+
+    A copy from a peer states only the folder's revision for all its files.
+    """
+    if listed_revision <= known_revision:
+        return Value(value.content, listed_revision)
+    return value
+
+
 async def _read_changed(
     client: PlatformClient,
     prefix: str,
--- a/packages/dandelionpond/src/dandelionpond/adapters/tests/test_platform.py
+++ b/packages/dandelionpond/src/dandelionpond/adapters/tests/test_platform.py
@@ -159,10 +159,13 @@
         return Ok(value) if value else Error(missing)
 
 
-def read_scripted_folder(listings, values, known_values=None):
+EMPTY_FOLDER = Folder(0, {})
+
+
+def read_scripted_folder(listings, values, known=EMPTY_FOLDER):
     """Read a folder through a scripted client; return the client and the result."""
     client = ScriptedClient(listings, values)
-    return client, asyncio.run(read_folder(client, "s/", known_values or {}))
+    return client, asyncio.run(read_folder(client, "s/", known))
 
 
 class TestReadFolder:
@@ -171,13 +174,29 @@
         first = Listing(1, {"s/a": 1, "s/b": 1})
         second = Listing(2, {"s/a": 2, "s/b": 1})
         values = {"s/a": Value(b"2", 2), "s/b": Value(b"b", 1)}
-        known_values = {"b": Value(b"b", 1), "old": Value(b"", 1)}
-        client, result = read_scripted_folder(
-            [first, second, second], values, known_values
-        )
+        known = Folder(0, {"b": Value(b"b", 1), "old": Value(b"", 1)})
+        client, result = read_scripted_folder([first, second, second], values, known)
         assert result.ok == Folder(2, {"a": Value(b"2", 2), "b": Value(b"b", 1)})
         assert client.reads == ["s/a"]
 
+    def test_files_from_a_peer_are_not_read_again(self):
+        """A reader that takes over must not read the whole folder from the platform.
+
+        Files that a peer sent state only the folder's revision.
+        """
+        listing = Listing(9, {"s/a": 3, "s/b": 8})
+        known = Folder(7, {"a": Value(b"a", 7), "b": Value(b"old", 7)})
+        client, result = read_scripted_folder([listing], {"s/b": Value(b"b", 8)}, known)
+        assert client.reads == ["s/b"]
+        assert result.ok == Folder(9, {"a": Value(b"a", 3), "b": Value(b"b", 8)})
+
+    def test_newer_files_are_not_taken_for_those_of_an_older_listing(self):
+        """A stale replica's listing must not be filled with newer content."""
+        listing = Listing(5, {"s/a": 3})
+        known = Folder(7, {"a": Value(b"newer", 7)})
+        client, _ = read_scripted_folder([listing], {"s/a": Value(b"a", 3)}, known)
+        assert client.reads == ["s/a"]
+
     def test_deleted_file(self):
         """The result must not lack a listed file."""
         first, second = Listing(1, {"s/a": 1}), Listing(2, {})
--- a/packages/dandelionpond/src/dandelionpond/config/state.py
+++ b/packages/dandelionpond/src/dandelionpond/config/state.py
@@ -208,6 +208,10 @@
         self.counters.accepted += 1
         return Accepted(revision, self.digest)
 
+    def files(self) -> dict[str, bytes]:
+        """Return the content of each file in effect by name."""
+        return dict(self._files)
+
     def manifest(self) -> tuple[ManifestEntry, ...]:
         """Return the files of the revision in effect, sorted by name."""
         return tuple(
--- a/packages/dandelionpond/src/dandelionpond/entry/mesh.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/mesh.py
@@ -46,6 +46,7 @@
         host, _, port = self._fleet.settings.mesh_address.rpartition(":")
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, local_addr=(host, int(port)))
+        self._fleet.peers.take_new_addresses()
         self._send_to_all(self._fleet.peers.addresses, wants_reply=True)
 
     def close(self) -> None:
@@ -83,6 +84,7 @@
             fleet.refresh_unresponsive()
         if heartbeat.wants_reply:
             self._send(address, self._build_heartbeat(PEERS_IN_REPLY))
+        self._greet_new_peers(address if heartbeat.wants_reply else None)
         self._on_heartbeat(heartbeat)
 
     def error_received(self, exc: Exception) -> None:
@@ -123,6 +125,18 @@
             )
             self._live_nodes = live_nodes
 
+    def _greet_new_peers(self, replied_to: str | None) -> None:
+        """Send a heartbeat to new peers, except to one that has just got a reply."""
+        addresses = [
+            address
+            for address in self._fleet.peers.take_new_addresses()
+            if address != replied_to
+        ]
+        if addresses:
+            data = encode_heartbeat(self._build_heartbeat(PEERS_IN_HEARTBEAT))
+            for address in addresses:
+                self._send_data(address, data)
+
     def _send_pending(self) -> None:
         self._pending_send = None
         self.send_now()
--- a/packages/dandelionpond/src/dandelionpond/mesh/peers.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/peers.py
@@ -79,12 +79,13 @@
 class HeartbeatPeerTable:
     """The peers of one node by their datagram address."""
 
-    __slots__ = ("_address", "_peers", "_random", "counters")
+    __slots__ = ("_address", "_new_addresses", "_peers", "_random", "counters")
 
     def __init__(self, address: str, seeds: Iterable[str], random: Random) -> None:
         self._address = address
         self._random = random
         self._peers: dict[str, Peer] = {}
+        self._new_addresses: list[str] = []
         self.counters = {"old": 0, "at_bound": 0, "forgotten": 0, "heard": 0}
         for seed in seeds:
             self._add_peer(seed)
@@ -122,6 +123,16 @@
             self._add_peer(known)
         return True
 
+    def take_new_addresses(self) -> tuple[str, ...]:
+        """Return the addresses that were added since the last call.
+
+        They are told of this node at once: until then, the two nodes do not know of
+        each other's work.
+        """
+        addresses = tuple(self._new_addresses)
+        self._new_addresses.clear()
+        return addresses
+
     def due_addresses(self, now: float) -> list[str]:
         """Return the addresses for the next regular heartbeat; drop expired peers."""
         limit = self.heartbeat_interval_s * SILENT_AFTER_INTERVALS
@@ -233,4 +244,5 @@
                 self.counters["at_bound"] += 1
                 return None
             peer = self._peers[address] = Peer(address)
+            self._new_addresses.append(address)
         return peer
--- a/packages/dandelionpond/src/dandelionpond/peer/client.py
+++ b/packages/dandelionpond/src/dandelionpond/peer/client.py
@@ -22,6 +22,10 @@
 
 T = TypeVar("T")
 
+# Longest time in seconds that a call waits for a connection attempt of an earlier call
+# before it opens a channel of its own. An attempt between VMs takes a few milliseconds.
+RECONNECT_WAIT_S = 0.3
+
 
 class CallFailure(msgspec.Struct, frozen=True):
     """Failure of a call to a peer.
@@ -35,7 +39,14 @@
 
 
 class _Channel:
-    __slots__ = ("active_calls", "address", "channel", "is_retired", "stub")
+    __slots__ = (
+        "active_calls",
+        "address",
+        "channel",
+        "is_retired",
+        "stub",
+        "was_used",
+    )
 
     def __init__(self, address: str, settings: PeerSettings) -> None:
         self.address = address
@@ -45,6 +56,7 @@
         self.stub: Any = peer_pb2_grpc.PeerStub(self.channel)  # type: ignore[no-untyped-call]
         self.active_calls = 0
         self.is_retired = False
+        self.was_used = False
 
 
 class PeerClient:
@@ -161,11 +173,17 @@
                 ErrorKind.BODY_TOO_LARGE, "message to peer exceeds the size limit"
             )
             return Error(CallFailure(failure, may_have_been_sent=False))
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
         channel = self._get_channel(address)
+        if channel.was_used and not await self._is_usable(channel, timeout_s):
+            # The channel's connection attempt began before this call and has failed or
+            # is stuck, which says nothing about the peer now.
+            self._retire(channel)
+            channel = self._get_channel(address)
+        channel.was_used = True
         channel.active_calls += 1
         is_connected = False
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout_s
         try:
             # Wait for the connection before starting the call. A failure up to here
             # means that nothing was sent, whereas a call that is queued for a
@@ -203,6 +221,22 @@
             if channel.is_retired and not channel.active_calls:
                 self._close(channel)
 
+    async def _is_usable(self, channel: _Channel, timeout_s: float) -> bool:
+        """Return whether an earlier call's channel connects within part of a timeout.
+
+        The rest of the timeout is left for a new channel.
+        """
+        channel.active_calls += 1
+        try:
+            async with asyncio.timeout(min(RECONNECT_WAIT_S, timeout_s / 4)):
+                return await _wait_until_connected(channel.channel)
+        except TimeoutError:
+            return False
+        finally:
+            channel.active_calls -= 1
+            if channel.is_retired and not channel.active_calls:
+                self._close(channel)
+
     def _get_channel(self, address: str) -> _Channel:
         channel = self._channels.get(address)
         if channel is not None:
--- a/packages/dandelionpond/src/dandelionpond/peer/tests/test_client.py
+++ b/packages/dandelionpond/src/dandelionpond/peer/tests/test_client.py
@@ -69,6 +69,7 @@
     def __init__(self, fault, port):
         self.fault, self.port = fault, port
         self.connections = 0
+        self.has_connection = asyncio.Event()
         self.tasks = set()
 
     async def start(self):
@@ -85,6 +86,7 @@
         task = asyncio.current_task()
         self.tasks.add(task)
         self.connections += 1
+        self.has_connection.set()
         try:
             await self.relay(reader, writer)
         except (asyncio.CancelledError, OSError):
@@ -243,6 +245,22 @@
 
         asyncio.run(with_relay("none", SHORT_TIMEOUT, scenario))
 
+    def test_call_after_a_partition_does_not_wait_for_an_older_connection(self):
+        """A call must not fail because of a connection that began in a partition."""
+
+        async def scenario(client, address, handler, relay):
+            during = asyncio.create_task(
+                client.exchange("b", address, make_message("a", 1))
+            )
+            await relay.has_connection.wait()
+            relay.fault = "none"
+            outcome = await client.exchange("b", address, make_message("a", 2))
+            assert outcome.is_ok(), outcome.error
+            during.cancel()
+
+        settings = PeerSettings(exchange_timeout_s=5.0)
+        asyncio.run(with_relay("silence", settings, scenario))
+
     def test_answer_of_another_node_is_refused(self):
         """A reply must be rejected if the address now belongs to another node."""
 
--- a/packages/dandelionpond/src/dandelionpond/runtime/distribution.py
+++ b/packages/dandelionpond/src/dandelionpond/runtime/distribution.py
@@ -66,7 +66,6 @@
         self._address_of = address_of
         self._announce = announce
         self.counters = {"delta_requests": 0, "full_requests": 0, "damaged": 0}
-        self._platform_values: dict[str, Value] = {}
         self._pending_folders: dict[int, tuple[int, dict[str, bytes]]] = {}
         self.state_machine = Distribution(
             local.name,
@@ -112,12 +111,19 @@
 
     async def _read_folder(self, call: int) -> None:
         prefix = self._core.local.settings_prefix
-        result = await read_folder(self._platform, prefix, self._platform_values)
+        state = self._core.settings_state
+        known = Folder(
+            state.revision,
+            {
+                name: Value(content, state.revision)
+                for name, content in state.files().items()
+            },
+        )
+        result = await read_folder(self._platform, prefix, known)
         if result.is_error():
             self.handle(PlatformCallFailed(call))
             return
         folder: Folder = result.ok
-        self._platform_values = folder.values
         self._store_folder(call, folder.revision, folder.files)
         self.handle(FolderReadCompleted(call, folder.revision))
 
--- a/packages/standins/src/dandelionpond_standins/tests/test_platform.py
+++ b/packages/standins/src/dandelionpond_standins/tests/test_platform.py
@@ -9,6 +9,7 @@
 import pytest
 
 from dandelionpond.adapters.platform import (
+    Folder,
     HttpPlatformClient,
     PlatformFault,
     read_folder,
@@ -105,12 +106,12 @@
             HttpPlatformClient(base_url, 10.0) as client,
             aiohttp.ClientSession() as control,
         ):
-            folder = (await read_folder(client, "settings/", {})).ok
+            folder = (await read_folder(client, "settings/", Folder(0, {}))).ok
             assert folder.files == {"10-a.json": b'{"a": 1}'}
             watch = asyncio.create_task(client.watch("settings/", 1, 20.0))
             await control.put(base_url + "/control/files/20-b.json", data=b"{}")
             assert (await watch).ok.revision == 2
-            folder = (await read_folder(client, "settings/", folder.values)).ok
+            folder = (await read_folder(client, "settings/", folder)).ok
             assert sorted(folder.files) == ["10-a.json", "20-b.json"]
             vm = {"name": "e1", "role": "engine", "address": "127.0.0.1:1"}
             vm |= {"failure_domain": "a", "state": "live"}
