Read the store on one node of the fleet, and keep heartbeats frequent in a large one

During an outage all nodes probed. Regular heartbeats slowed down with the number of peers: at 194 peers one each 3.2 s, a peer counted as live for 10.3 s, longer than a partition lasts, and the jobs of a peer without changes were dropped after 2.5 s, before its next heartbeat.

Change: the order of readers spans the fleet and takes one node of each domain in turn. The interval follows from the shorter of the bounds of departures and configurations (0.6 s at 2 s, as before). After a missed read twice as many nodes read with each step, and nodes of higher rank wait longer after a failure. The first node of each domain in the order fetches from other domains at once and tells its domain. Heartbeats within the domain go out each 0.5 s, those to other domains in turns that bound what a node receives. A domain's silence is noticed by the number of its nodes. Jobs of a peer are kept while it is live.

--- a/packages/dandelionpond/src/dandelionpond/entry/fleet.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/fleet.py
@@ -71,10 +71,12 @@
         self.settings = settings
         self.clock = clock
         self.random = random
-        self.published = PublishedState()
+        self.published = PublishedState(settings.reads)
         self.jobs = JobTracker()
         self.health = HealthTracker()
-        self.peers = HeartbeatPeerTable(settings.mesh_address, settings.seeds, random)
+        self.peers = HeartbeatPeerTable(
+            settings.mesh_address, settings.failure_domain, settings.seeds, random
+        )
         self._retry_budgets: dict[str, RetryBudgetShare] = {}
         # The upstreams by service, with the key of the state they were computed from.
         self._by_service: tuple[int, dict[str, list[UpstreamEntry]]] | None = None
@@ -255,9 +257,7 @@
 
     def refresh_unresponsive(self) -> None:
         """Update the upstreams that peers report as unresponsive; log changes."""
-        unresponsive = self.peers.unresponsive_upstreams(
-            self.settings.failure_domain, self.now()
-        )
+        unresponsive = self.peers.unresponsive_upstreams(self.now())
         if unresponsive != self._unresponsive_to_peers:
             log.info(
                 "upstreams unresponsive to peers",
@@ -284,7 +284,7 @@
         Also drop the retry budgets of services that no longer exist.
         """
         now = self.now()
-        self.jobs.expire_peers(now)
+        self.jobs.expire_peers(now, self.peers.silence_limit_s)
         self.refresh_unresponsive()
         nodes = len(self.peers.live_peers(now)) + 1
         for share in self._retry_budgets.values():
--- a/packages/dandelionpond/src/dandelionpond/entry/mesh.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/mesh.py
@@ -152,8 +152,7 @@
             return
         fleet = self._fleet
         heartbeat = self._build_heartbeat(address_count, wants_reply)
-        domain = fleet.settings.failure_domain
-        plan = fleet.peers.plan_delivery(addresses, domain, fleet.now())
+        plan = fleet.peers.plan_delivery(addresses, fleet.now())
         data = encode_heartbeat(heartbeat)
         for address in plan.direct:
             self._send_data(address, data)
--- a/packages/dandelionpond/src/dandelionpond/entry/process.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/process.py
@@ -25,6 +25,7 @@
 from dandelionpond.http.server import HttpListener, bind
 from dandelionpond.identity import Identity
 from dandelionpond.logs import configure_logging
+from dandelionpond.mesh.peers import HEARTBEAT_INTERVAL_S
 from dandelionpond.metrics import Metrics
 from dandelionpond.peer.settings import PeerSettings
 from dandelionpond.peer.snapshots import SnapshotServer
@@ -110,9 +111,7 @@
         await self._snapshots.start()
         self._tasks.every(lambda: TICK_INTERVAL_S, self._tick, "tick")
         self._tasks.every(
-            lambda: self._fleet.peers.heartbeat_interval_s,
-            self._send_heartbeats,
-            "heartbeat",
+            lambda: HEARTBEAT_INTERVAL_S, self._send_heartbeats, "heartbeat"
         )
         log.info("started", extra={"front": settings.front_address})
 
--- a/packages/dandelionpond/src/dandelionpond/entry/settings.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/settings.py
@@ -4,6 +4,7 @@
 
 from dandelionpond.entry.upstream_client import CONNECT_TIMEOUT_S
 from dandelionpond.forwarding.budget import BudgetSettings
+from dandelionpond.published.readers import ReadTiming
 from dandelionpond.shutdown.settings import ShutdownSettings
 
 # Share of the grace period after which the remaining requests are interrupted.
@@ -19,9 +20,10 @@
     Addresses are `IP:port`. `mesh_address` receives datagrams from other nodes,
     `fetch_address` serves gRPC, and `seeds` holds the datagram addresses of some nodes.
     `grace_s` is the time between the signal of a planned shutdown and the kill.
-    `connect_timeout_s` limits the time to open a connection to an upstream. `capacity`
-    is the capacity of this VM in percent of a reference VM; nodes with more capacity
-    are preferred for serving their peers.
+    `effect_limit_s` is the time within which new settings and departures of upstreams
+    have to be in effect. `connect_timeout_s` limits the time to open a connection to an
+    upstream. `capacity` is the capacity of this VM in percent of a reference VM; nodes
+    with more capacity are preferred for serving their peers.
     """
 
     name: str
@@ -35,9 +37,15 @@
     seeds: tuple[str, ...]
     grace_s: float
     budget: BudgetSettings
+    effect_limit_s: float = 2.0
     connect_timeout_s: float = CONNECT_TIMEOUT_S
     capacity: int = 100
 
+    @property
+    def reads(self) -> ReadTiming:
+        """Return the timing of reads of the metadata store."""
+        return ReadTiming(self.effect_limit_s)
+
     @property
     def shutdown(self) -> ShutdownSettings:
         """Return the timing of a planned shutdown."""
--- a/packages/dandelionpond/src/dandelionpond/entry/state_sync.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/state_sync.py
@@ -19,10 +19,12 @@
 
 # Interval in seconds between two checks of whether a read is due.
 READ_CHECK_INTERVAL_S = 0.1
-# Time in seconds that a node waits for the reader of its own failure domain before it
-# fetches newer state from another domain. Each domain's reader reads independently
-# every 0.6 s.
+# Time in seconds that a node waits, for each node of its own failure domain that comes
+# first in the order of readers, before it fetches newer state from another domain. The
+# first one fetches at once, and the others fetch from it.
 REMOTE_FETCH_DELAY_S = 0.3
+# Largest number of nodes that a node waits for.
+MAX_REMOTE_FETCH_RANK = 3
 
 
 class MetadataStore(Protocol):
@@ -50,7 +52,7 @@
         self._fleet = fleet
         self._store = store
         self._tasks = tasks
-        self._schedule = ReadSchedule()
+        self._schedule = ReadSchedule(fleet.settings.reads)
         self._is_reading = False
         self._is_fetching = False
         # Timer of the fetch from another failure domain, while the node waits for the
@@ -90,9 +92,10 @@
         if heartbeat.failure_domain == fleet.settings.failure_domain:
             self._start_fetch(heartbeat)
         elif self._remote_fetch is None:
+            rank = min(self._local_rank(fleet.now()), MAX_REMOTE_FETCH_RANK)
             loop = asyncio.get_running_loop()
             self._remote_fetch = loop.call_later(
-                REMOTE_FETCH_DELAY_S, self._fetch_from_other_domain, heartbeat
+                REMOTE_FETCH_DELAY_S * rank, self._fetch_from_other_domain, heartbeat
             )
 
     def close(self) -> None:
@@ -129,19 +132,31 @@
     async def _read_if_due(self) -> None:
         fleet = self._fleet
         now = fleet.now()
-        rank = self._rank(now)
+        age = fleet.published.list_age_s(now)
+        if self._is_reading or self._schedule.is_fresh(age):
+            return
+        rank = reader_rank(fleet.settings.name, self._reader_candidates(now))
         if (rank == 0) != self._is_reader:
             self._is_reader = rank == 0
             log.info("reader role changed", extra={"is_reader": self._is_reader})
-        age = fleet.published.list_age_s(now)
-        if self._is_reading or not self._schedule.is_due(now, rank, age):
+        if not self._schedule.is_due(now, rank, age):
             return
         self._is_reading = True
         self._schedule.read_started(now)
-        self._tasks.spawn(self._read(now), "read-platform")
+        self._tasks.spawn(self._read(now, rank), "read-platform")
 
-    def _rank(self, now: float) -> int:
-        """Return this node's rank among the readers of its failure domain."""
+    def _local_rank(self, now: float) -> int:
+        """Return this node's rank among the nodes of its failure domain."""
+        own = self._fleet.settings
+        nodes = [
+            node
+            for node in self._reader_candidates(now)
+            if node.failure_domain == own.failure_domain
+        ]
+        return reader_rank(own.name, nodes)
+
+    def _reader_candidates(self, now: float) -> list[ReaderCandidate]:
+        """Return this node and its live peers that are not leaving."""
         own = self._fleet.settings
         nodes = [ReaderCandidate(own.name, own.failure_domain, own.capacity)]
         for peer in self._fleet.peers.live_peers(now):
@@ -152,9 +167,9 @@
                         heartbeat.node, heartbeat.failure_domain, heartbeat.capacity
                     )
                 )
-        return reader_rank(own.name, own.failure_domain, nodes)
+        return nodes
 
-    async def _read(self, started_at: float) -> None:
+    async def _read(self, started_at: float, rank: int) -> None:
         fleet = self._fleet
         try:
             result = await self._store.read(
@@ -163,7 +178,7 @@
         finally:
             self._is_reading = False
         self.counters["reads"] += 1
-        self._schedule.read_finished(fleet.now(), result.is_ok())
+        self._schedule.read_finished(fleet.now(), rank, result.is_ok())
         self._record_outcome(result)
         # The entries may date from the start of the read, so the age counts from there.
         if result.is_ok():
--- a/packages/dandelionpond/src/dandelionpond/mesh/peers.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/peers.py
@@ -1,5 +1,6 @@
 """Track which peers are live and when each one is sent a heartbeat."""
 
+import math
 from collections.abc import Iterable
 from random import Random
 
@@ -7,11 +8,13 @@
 
 from dandelionpond.mesh.messages import Heartbeat
 
-# Interval in seconds between two heartbeats to the same peer in a small fleet.
+# Interval in seconds between two rounds of regular heartbeats.
 HEARTBEAT_INTERVAL_S = 0.5
-# Limit on the regular heartbeats that a node sends per second. In a larger fleet the
-# interval grows, so that the cost of a node does not depend on the fleet's size.
-MAX_HEARTBEATS_PER_S = 60.0
+# Limit on the regular heartbeats that a node sends per second within its own failure
+# domain, and on those that it receives per second from other domains. Beyond it, a peer
+# is sent a heartbeat in only one of several rounds, so that the cost of a node does not
+# depend on the fleet's size.
+MAX_HEARTBEATS_PER_S = 100.0
 # Number of heartbeat intervals without a heartbeat after which a peer is not live.
 SILENT_AFTER_INTERVALS = 3.2
 # Time in seconds after which a silent peer is removed.
@@ -79,22 +82,36 @@
 class HeartbeatPeerTable:
     """The peers of one node by their datagram address."""
 
-    __slots__ = ("_address", "_new_addresses", "_peers", "_random", "counters")
+    __slots__ = (
+        "_address",
+        "_domain",
+        "_local_rounds",
+        "_new_addresses",
+        "_peers",
+        "_random",
+        "_remote_rounds",
+        "_round",
+        "counters",
+    )
 
-    def __init__(self, address: str, seeds: Iterable[str], random: Random) -> None:
+    def __init__(
+        self, address: str, failure_domain: str, seeds: Iterable[str], random: Random
+    ) -> None:
         self._address = address
+        self._domain = failure_domain
         self._random = random
+        # A random start, so that nodes don't send to other domains in the same rounds.
+        self._round = random.randrange(1_000)
+        # Rounds between two heartbeats to the same peer, by whether it is in the own
+        # failure domain.
+        self._local_rounds = 1
+        self._remote_rounds = 1
         self._peers: dict[str, Peer] = {}
         self._new_addresses: list[str] = []
         self.counters = {"old": 0, "at_bound": 0, "forgotten": 0, "heard": 0}
         for seed in seeds:
             self._add_peer(seed)
 
-    @property
-    def heartbeat_interval_s(self) -> float:
-        """Return the interval in seconds between two heartbeats to the same peer."""
-        return max(HEARTBEAT_INTERVAL_S, len(self._peers) / MAX_HEARTBEATS_PER_S)
-
     @property
     def addresses(self) -> tuple[str, ...]:
         """Return the addresses of all peers."""
@@ -102,12 +119,14 @@
 
     def live_peers(self, now: float) -> list[Peer]:
         """Return the peers that were heard recently, including leaving ones."""
-        limit = self.heartbeat_interval_s * SILENT_AFTER_INTERVALS
-        return [
-            peer
-            for peer in self._peers.values()
-            if peer.heartbeat is not None and now - peer.last_heard_at <= limit
-        ]
+        return [peer for peer in self._peers.values() if self._is_live(peer, now)]
+
+    def silence_limit_s(self, address: str) -> float:
+        """Return the time in seconds after which a silent peer is not live."""
+        peer = self._peers.get(address)
+        is_remote = peer is not None and self._is_remote(peer)
+        rounds = self._remote_rounds if is_remote else self._local_rounds
+        return rounds * HEARTBEAT_INTERVAL_S * SILENT_AFTER_INTERVALS
 
     def receive(self, address: str, heartbeat: Heartbeat, now: float) -> bool:
         """Record a heartbeat; return False if it is stale or its sender not tracked."""
@@ -134,45 +153,51 @@
         return addresses
 
     def due_addresses(self, now: float) -> list[str]:
-        """Return the addresses for the next regular heartbeat; drop expired peers."""
-        limit = self.heartbeat_interval_s * SILENT_AFTER_INTERVALS
+        """Return the addresses for the next regular heartbeat; drop expired peers.
+
+        Call this once in each `HEARTBEAT_INTERVAL_S`.
+        """
+        self._round += 1
+        self._drop_expired(now)
+        remote_count = sum(self._is_remote(peer) for peer in self._peers.values())
+        self._remote_rounds = _rounds_for(remote_count)
+        self._local_rounds = _rounds_for(len(self._peers) - remote_count)
         due = []
-        for address, peer in list(self._peers.items()):
-            silent_s = now - peer.last_heard_at
-            if peer.heartbeat is not None and silent_s > FORGET_AFTER_S:
-                del self._peers[address]
-                self.counters["forgotten"] += 1
+        for index, (address, peer) in enumerate(self._peers.items()):
+            if self._is_remote(peer):
+                # A relay forwards to all peers of its domain, so all are due at once.
+                is_turn = self._round % self._remote_rounds == 0
+            else:
+                is_turn = (self._round + index) % self._local_rounds == 0
+            if not is_turn:
                 continue
             peer.rounds += 1
             # A new peer is sent a heartbeat in each of its first 8 rounds, even while
             # nothing has been heard from it.
             if (
-                silent_s <= limit
+                self._is_live(peer, now)
                 or peer.rounds <= 8
                 or peer.rounds % SILENT_PEER_ROUNDS == 0
             ):
                 due.append(address)
         return due
 
-    def plan_delivery(
-        self, addresses: Iterable[str], own_domain: str, now: float
-    ) -> DeliveryPlan:
+    def plan_delivery(self, addresses: Iterable[str], now: float) -> DeliveryPlan:
         """Choose direct receivers and relays to limit traffic between failure domains.
 
         Heartbeats go directly to peers in the own domain and to peers that are silent
         or leaving. In each other domain one live peer relays them; it is chosen at
         random each time, so that a dead relay does not hide its domain.
         """
-        live = {peer.address: peer for peer in self.live_peers(now)}
         direct: list[str] = []
         domains: dict[str, list[str]] = {}
         for address in addresses:
-            peer = live.get(address)
-            heartbeat = peer.heartbeat if peer else None
+            peer = self._peers.get(address)
+            heartbeat = peer.heartbeat if peer and self._is_live(peer, now) else None
             if (
                 heartbeat is None
                 or heartbeat.is_leaving
-                or heartbeat.failure_domain == own_domain
+                or heartbeat.failure_domain == self._domain
             ):
                 direct.append(address)
             else:
@@ -205,19 +230,22 @@
         probably cut off. Leaving peers and peers that were never heard do not count.
         """
         last_heard_at: dict[str, float] = {}
+        counts: dict[str, int] = {}
         for peer in self._peers.values():
             if peer.heartbeat is not None and not peer.heartbeat.is_leaving:
                 domain = peer.heartbeat.failure_domain
+                counts[domain] = counts.get(domain, 0) + 1
                 last_heard_at[domain] = max(
                     last_heard_at.get(domain, -1e9), peer.last_heard_at
                 )
-        silence_s = max(silence_s, self.heartbeat_interval_s * SILENT_AFTER_INTERVALS)
         silent = frozenset(
-            domain for domain, at in last_heard_at.items() if now - at > silence_s
+            domain
+            for domain, at in last_heard_at.items()
+            if now - at > max(silence_s, self._domain_limit_s(domain, counts[domain]))
         )
         return frozenset() if len(silent) == len(last_heard_at) else silent
 
-    def unresponsive_upstreams(self, own_domain: str, now: float) -> frozenset[str]:
+    def unresponsive_upstreams(self, now: float) -> frozenset[str]:
         """Return the upstreams that live peers report as unresponsive.
 
         One report from the own failure domain is enough. From other domains it takes
@@ -228,13 +256,38 @@
         for peer in self.live_peers(now):
             assert peer.heartbeat is not None
             names = set(peer.heartbeat.unresponsive_upstreams)
-            if peer.heartbeat.failure_domain == own_domain:
+            if peer.heartbeat.failure_domain == self._domain:
                 confirmed |= names
             else:
                 confirmed |= reported_once & names
                 reported_once |= names
         return frozenset(confirmed)
 
+    def _domain_limit_s(self, domain: str, count: int) -> float:
+        """Return the time without any heartbeat that `count` live peers don't explain.
+
+        Peers send in different rounds, so the more of them a domain has, the sooner its
+        silence is noticed.
+        """
+        rounds = self._local_rounds if domain == self._domain else self._remote_rounds
+        return max(1.0, rounds / count) * HEARTBEAT_INTERVAL_S * SILENT_AFTER_INTERVALS
+
+    def _is_remote(self, peer: Peer) -> bool:
+        heartbeat = peer.heartbeat
+        return heartbeat is not None and heartbeat.failure_domain != self._domain
+
+    def _is_live(self, peer: Peer, now: float) -> bool:
+        return (
+            peer.heartbeat is not None
+            and now - peer.last_heard_at <= self.silence_limit_s(peer.address)
+        )
+
+    def _drop_expired(self, now: float) -> None:
+        for address, peer in list(self._peers.items()):
+            if peer.heartbeat is not None and now - peer.last_heard_at > FORGET_AFTER_S:
+                del self._peers[address]
+                self.counters["forgotten"] += 1
+
     def _add_peer(self, address: str) -> Peer | None:
         if address == self._address:
             return None
@@ -246,3 +299,8 @@
             peer = self._peers[address] = Peer(address)
             self._new_addresses.append(address)
         return peer
+
+
+def _rounds_for(peer_count: int) -> int:
+    """Return the rounds between two heartbeats to the same peer of a group."""
+    return max(1, math.ceil(peer_count / (MAX_HEARTBEATS_PER_S * HEARTBEAT_INTERVAL_S)))
--- a/packages/dandelionpond/src/dandelionpond/mesh/tests/test_peers.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/tests/test_peers.py
@@ -31,7 +31,7 @@
 
 
 def peer_table(*seeds):
-    return HeartbeatPeerTable(SELF, seeds, Random(1))
+    return HeartbeatPeerTable(SELF, "a", seeds, Random(1))
 
 
 class TestHeartbeat:
@@ -92,14 +92,16 @@
     def test_send_rate_does_not_grow_with_the_fleet(self):
         """Guard against heartbeats that grow with the square of the fleet."""
         peers = peer_table(*(f"p{number}:1" for number in range(400)))
-        assert (
-            len(peers.due_addresses(0.0)) / peers.heartbeat_interval_s
-            <= MAX_HEARTBEATS_PER_S + 1
-        )
+        rounds = [peers.due_addresses(0.0) for _ in range(40)]
+        assert max(map(len, rounds)) <= MAX_HEARTBEATS_PER_S * HEARTBEAT_INTERVAL_S + 1
+        assert len({address for due in rounds for address in due}) == 400
 
     def test_small_fleet_uses_the_shortest_interval(self):
         """Guard against slow updates in a small fleet."""
-        assert peer_table("p:1").heartbeat_interval_s == HEARTBEAT_INTERVAL_S
+        peers = peer_table("p:1")
+        peers.receive("q:1", heartbeat("q", domain="b"), 0.0)
+        for _ in range(3):
+            assert set(peers.due_addresses(0.1)) == {"p:1", "q:1"}
 
     def test_silent_peer_is_contacted_rarely_and_then_forgotten(self):
         """Guard against a fleet that keeps the addresses of replaced VMs."""
@@ -111,6 +113,49 @@
         assert peers.addresses == ()
 
 
+class TestLargeFleet:
+    """195 nodes in five failure domains."""
+
+    def fleet(self, domains="abcde", size=39):
+        peers = peer_table()
+        for domain in domains:
+            for number in range(size):
+                name = f"{domain}{number}"
+                peers.receive(f"{name}:1", heartbeat(name, domain=domain), 0.0)
+        peers.due_addresses(0.0)
+        return peers
+
+    def test_own_domain_is_sent_a_heartbeat_in_each_round(self):
+        """Guard against slow detection of dead peers that share the same engines."""
+        peers = self.fleet()
+        for _ in range(4):
+            due = set(peers.due_addresses(0.1))
+            assert {f"a{number}:1" for number in range(39)} <= due
+        assert {peer.address[0] for peer in peers.live_peers(2.0)} == set("bcde")
+
+    def test_silent_domain_is_noticed_as_soon_as_in_a_small_fleet(self):
+        """Guard against a partition that is over before its domain is avoided."""
+        peers = self.fleet()
+        for number in range(39):
+            for domain in "abcd":
+                name = f"{domain}{number}"
+                news = heartbeat(name, sequence=2, domain=domain)
+                peers.receive(f"{name}:1", news, 1.5)
+        assert peers.silent_domains(1.7, 1.6) == frozenset({"e"})
+
+    def test_received_heartbeats_do_not_grow_with_the_fleet(self):
+        """Guard against regular heartbeats that use up the CPU of a large fleet."""
+        for size in (39, 100):
+            peers = self.fleet(size=size)
+            rounds = 120
+            turns = sum(
+                any(address.startswith("b") for address in peers.due_addresses(0.1))
+                for _ in range(rounds)
+            )
+            received_per_s = turns * 4 * size / (rounds * HEARTBEAT_INTERVAL_S)
+            assert received_per_s <= MAX_HEARTBEATS_PER_S
+
+
 class TestPlanDelivery:
     """A large fleet in which traffic between failure domains is expensive."""
 
@@ -125,22 +170,20 @@
     def test_other_domains_get_one_relay_each(self):
         """Guard against sending to every node in another domain."""
         peers = self.large_fleet()
-        plan = peers.plan_delivery(peers.addresses, "a", 0.1)
+        plan = peers.plan_delivery(peers.addresses, 0.1)
         assert sorted(plan.direct) == [f"a{number}:1" for number in range(5)]
         assert sorted(address[0] for address in plan.relays) == ["b", "c"]
 
     def test_relay_is_chosen_anew_each_time(self):
         """Guard against a dead relay that cuts off its domain."""
         peers = self.large_fleet()
-        choices = {
-            peers.plan_delivery(peers.addresses, "a", 0.1).relays for _ in range(50)
-        }
+        choices = {peers.plan_delivery(peers.addresses, 0.1).relays for _ in range(50)}
         assert len(choices) > 5
 
     def test_silent_and_unknown_peers_are_contacted_directly(self):
         """Guard against a partition that does not heal."""
         peers = self.large_fleet()
-        plan = peers.plan_delivery((*peers.addresses, "new:1"), "a", 60.0)
+        plan = peers.plan_delivery((*peers.addresses, "new:1"), 60.0)
         assert len(plan.direct) == 16
         assert plan.relays == ()
 
@@ -172,14 +215,14 @@
         peers.receive(
             "b:1", heartbeat("b1", domain="b", unresponsive_upstreams=("y", "z")), 0.0
         )
-        assert peers.unresponsive_upstreams("a", 0.1) == frozenset({"x"})
+        assert peers.unresponsive_upstreams(0.1) == frozenset({"x"})
         peers.receive(
             "c:1", heartbeat("c1", domain="c", unresponsive_upstreams=("y",)), 0.0
         )
-        assert peers.unresponsive_upstreams("a", 0.1) == frozenset({"x", "y"})
+        assert peers.unresponsive_upstreams(0.1) == frozenset({"x", "y"})
 
     def test_report_of_a_silent_peer_does_not_count(self):
         """Guard against upstreams avoided because of a dead node's last report."""
         peers = peer_table()
         peers.receive("a:1", heartbeat("a1", unresponsive_upstreams=("x",)), 0.0)
-        assert peers.unresponsive_upstreams("a", 60.0) == frozenset()
+        assert peers.unresponsive_upstreams(60.0) == frozenset()
--- a/packages/dandelionpond/src/dandelionpond/placement/jobs.py
+++ b/packages/dandelionpond/src/dandelionpond/placement/jobs.py
@@ -14,8 +14,9 @@
 # predicted prefill times are too short by about this share.
 RESIDUAL_PREFILL_SHARE = 0.05
 
-# Jobs of a peer are dropped after this many seconds without a message: the peer has
-# stopped and its connections have ended, or it is partitioned from this node.
+# Minimum time in seconds without a message after which the jobs of a peer are dropped:
+# the peer has stopped and its connections have ended, or it is partitioned from this
+# node.
 PEER_JOBS_TTL_S = 2.5
 # A held request waits for a part with at least this prefill time in seconds, even if
 # the part was sent after the request's planned start. Engines prefill the newest part
@@ -193,10 +194,15 @@
         if self._peers.pop(peer, None) is not None:
             self._by_instance = None
 
-    def expire_peers(self, now: float) -> None:
-        """Drop the jobs of peers not heard from for `PEER_JOBS_TTL_S`."""
+    def expire_peers(self, now: float, silence_limit_s: Callable[[str], float]) -> None:
+        """Drop the jobs of peers that have been silent for too long.
+
+        `silence_limit_s` returns the time in seconds after which a peer is not live. A
+        peer without changes sends only regular heartbeats, which are rare in a large
+        fleet.
+        """
         for peer, (heard_at, _) in list(self._peers.items()):
-            if now - heard_at > PEER_JOBS_TTL_S:
+            if now - heard_at > max(PEER_JOBS_TTL_S, silence_limit_s(peer)):
                 self.remove_peer(peer)
 
     def load(self, instance: str, now: float) -> Load:
--- a/packages/dandelionpond/src/dandelionpond/placement/tests/test_jobs.py
+++ b/packages/dandelionpond/src/dandelionpond/placement/tests/test_jobs.py
@@ -191,11 +191,20 @@
         """Guard against engines that look full of a dead node's jobs."""
         tracker = JobTracker()
         tracker.update_peer("p", [prefill_job()], 0.0)
-        tracker.expire_peers(PEER_JOBS_TTL_S - 0.1)
+        tracker.expire_peers(PEER_JOBS_TTL_S - 0.1, lambda peer: 1.6)
         assert tracker.load("e", 0.0).requests == 1
-        tracker.expire_peers(PEER_JOBS_TTL_S + 0.1)
+        tracker.expire_peers(PEER_JOBS_TTL_S + 0.1, lambda peer: 1.6)
         assert tracker.load("e", 0.0).requests == 0
 
+    def test_job_of_a_live_peer_is_kept_between_rare_heartbeats(self):
+        """A large fleet: a long prefill must not look finished before it is."""
+        tracker = JobTracker()
+        tracker.update_peer("p", [prefill_job(prefill_s=5.0)], 0.0)
+        tracker.expire_peers(3.0, lambda peer: 6.4)
+        assert tracker.load("e", 3.0).requests == 1
+        tracker.expire_peers(6.5, lambda peer: 6.4)
+        assert tracker.load("e", 6.5).requests == 0
+
     def test_own_jobs_carry_their_age(self):
         """Guard against peers that count a job from when they received it."""
         tracker = JobTracker()
--- a/packages/dandelionpond/src/dandelionpond/published/state.py
+++ b/packages/dandelionpond/src/dandelionpond/published/state.py
@@ -8,11 +8,9 @@
     UpstreamEntry,
     UpstreamState,
 )
+from dandelionpond.published.readers import ReadTiming
 from dandelionpond.published.table import RouteTable
 
-# Age of the list in seconds that indicates an outage of the platform: readers refresh
-# the list several times in this span.
-OUTAGE_AGE_S = 2.5
 # Time in seconds for which entries that expired during an outage stay in use after the
 # platform is back. The platform's documentation gives upstreams about two seconds to
 # register again.
@@ -44,11 +42,13 @@
         "_hold_until",
         "_list_read_at",
         "_list_revision",
+        "_outage_age_s",
         "_table",
         "counters",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, timing: ReadTiming) -> None:
+        self._outage_age_s = timing.outage_age_s
         self._table: RouteTable | None = None
         self._entries: dict[str, UpstreamEntry] = {}
         self._held_entries: dict[str, UpstreamEntry] = {}
@@ -156,7 +156,7 @@
         current = {entry.instance: entry for entry in snapshot.entries}
         had_outage = (
             self._list_read_at is not None
-            and read_at - self._list_read_at > OUTAGE_AGE_S
+            and read_at - self._list_read_at > self._outage_age_s
         )
         if had_outage:
             self._hold_until = now + HOLD_AFTER_OUTAGE_S
--- a/packages/dandelionpond/src/dandelionpond/published/tests/test_state.py
+++ b/packages/dandelionpond/src/dandelionpond/published/tests/test_state.py
@@ -8,13 +8,14 @@
     UpstreamEntry,
     UpstreamState,
 )
+from dandelionpond.published.readers import ReadTiming
 from dandelionpond.published.state import (
     HOLD_AFTER_OUTAGE_S,
-    OUTAGE_AGE_S,
     PublishedState,
 )
 
 READY, LEAVING = UpstreamState.READY, UpstreamState.LEAVING
+TIMING = ReadTiming()
 
 
 def entry(name, state=READY):
@@ -33,7 +34,7 @@
 class TestDocument:
     def test_newer_version_is_accepted_and_older_refused(self):
         """Guard against a node that reverts to an older configuration."""
-        state = PublishedState()
+        state = PublishedState(TIMING)
         for version in (3, 7, 5):
             state.update(snapshot(1, version=version), 0.0, 0.0)
         assert state.version == 7
@@ -45,7 +46,7 @@
         The next read requests only the changes since this revision, so it must not
         follow a snapshot whose document was refused.
         """
-        state = PublishedState()
+        state = PublishedState(TIMING)
         older, newer = (RoutingDocument(version, (), ()) for version in (3, 5))
         state.update(Snapshot(10, (), newer, 10), 0.0, 0.0)
         state.update(Snapshot(20, (), older, 20), 0.0, 0.0)
@@ -57,7 +58,7 @@
 
     def test_state_is_complete_with_document_and_list(self):
         """Guard against a node that serves without a list of upstreams."""
-        state = PublishedState()
+        state = PublishedState(TIMING)
         assert not state.is_complete
         state.update(snapshot(1, version=1), 0.0, 0.0)
         assert state.is_complete
@@ -66,23 +67,23 @@
 class TestEntries:
     def test_older_list_is_refused(self):
         """Guard against a late snapshot that makes a leaving upstream ready again."""
-        state = PublishedState()
+        state = PublishedState(TIMING)
         state.update(snapshot(9, entry("a", LEAVING)), 0.0, 0.0)
         assert not state.update(snapshot(8, entry("a", READY)), 0.1, 0.1)
         assert state.entries(0.2)[0].state is LEAVING
 
     def test_missing_entry_is_removed_at_once(self):
         """Guard against work for an upstream that left without notice."""
-        state = PublishedState()
+        state = PublishedState(TIMING)
         state.update(snapshot(1, entry("a"), entry("b")), 0.0, 0.0)
         state.update(snapshot(2, entry("b")), 0.6, 0.6)
         assert names(state, 0.6) == ["b"]
 
     def test_entry_that_expired_in_an_outage_is_held(self):
         """Guard against losing every upstream when the platform is back."""
-        state = PublishedState()
+        state = PublishedState(TIMING)
         state.update(snapshot(1, entry("a"), entry("b", LEAVING)), 0.0, 0.0)
-        back_at = OUTAGE_AGE_S + 1.0
+        back_at = TIMING.outage_age_s + 1.0
         state.update(snapshot(2), back_at, back_at)
         assert names(state, back_at) == ["a"]
         assert names(state, back_at + HOLD_AFTER_OUTAGE_S - 0.1) == ["a"]
@@ -90,18 +91,18 @@
 
     def test_held_entry_is_replaced_when_it_returns(self):
         """Guard against a held entry that hides the upstream's newer one."""
-        state = PublishedState()
+        state = PublishedState(TIMING)
         state.update(snapshot(1, entry("a")), 0.0, 0.0)
-        back_at = OUTAGE_AGE_S + 1.0
+        back_at = TIMING.outage_age_s + 1.0
         state.update(snapshot(2), back_at, back_at)
         state.update(snapshot(3, entry("a", LEAVING)), back_at + 0.6, back_at + 0.6)
         assert [entry.state for entry in state.entries(back_at + 0.7)] == [LEAVING]
 
     def test_entry_that_expires_soon_after_the_outage_is_held(self):
         """Guard against entries that disappear one read after the platform is back."""
-        state = PublishedState()
+        state = PublishedState(TIMING)
         state.update(snapshot(1, entry("a")), 0.0, 0.0)
-        back_at = OUTAGE_AGE_S + 1.0
+        back_at = TIMING.outage_age_s + 1.0
         state.update(snapshot(2, entry("a")), back_at, back_at)
         state.update(snapshot(3), back_at + 0.6, back_at + 0.6)
         assert names(state, back_at + 0.7) == ["a"]
@@ -110,7 +111,7 @@
 class TestConfirmList:
     def test_equal_content_renews_the_list(self):
         """Guard against a fetch each time an upstream renews its unchanged entry."""
-        state = PublishedState()
+        state = PublishedState(TIMING)
         state.update(snapshot(1, entry("a"), version=1), 0.0, 0.0)
         assert state.confirm_list(5, state.digest, 3.0)
         assert state.list_revision == 5
@@ -118,7 +119,7 @@
 
     def test_different_content_is_not_confirmed(self):
         """Guard against a node that mistakes a changed list for its own."""
-        state, peer = PublishedState(), PublishedState()
+        state, peer = PublishedState(TIMING), PublishedState(TIMING)
         state.update(snapshot(1, entry("a"), version=1), 0.0, 0.0)
         peer.update(snapshot(2, entry("a", LEAVING), version=1), 0.0, 0.0)
         assert not state.confirm_list(2, peer.digest, 0.1)
@@ -127,14 +128,14 @@
 
     def test_digest_does_not_depend_on_order(self):
         """Guard against endless fetches between nodes whose lists differ in order."""
-        first, second = PublishedState(), PublishedState()
+        first, second = PublishedState(TIMING), PublishedState(TIMING)
         first.update(snapshot(1, entry("a"), entry("b"), version=1), 0.0, 0.0)
         second.update(snapshot(1, entry("b"), entry("a"), version=1), 0.0, 0.0)
         assert first.digest == second.digest
 
     def test_snapshot_round_trips_through_msgpack(self):
         """Guard against types that a peer cannot decode."""
-        state = PublishedState()
+        state = PublishedState(TIMING)
         state.update(snapshot(1, entry("a"), version=4), 0.0, 0.0)
         data = msgspec.msgpack.encode(state.snapshot())
         assert msgspec.msgpack.decode(data, type=Snapshot) == state.snapshot()
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -46,6 +46,12 @@
         assert read_settings(TEXT + limits).capacity == capacity
         assert read_settings(TEXT).capacity == 100
 
+    def test_reads_follow_from_the_shortest_bound(self):
+        """Departures and configurations must be in effect within their own bounds."""
+        bounds = "Bounds.DrainMs=4000\nBounds.ConfigApplyMs=3000\n"
+        assert read_settings(TEXT + bounds).effect_limit_s == 3.0
+        assert read_settings(TEXT).effect_limit_s == 2.0
+
     @pytest.mark.parametrize(
         ("text", "expected"),
         [
