--- a/packages/dandelionpond/src/dandelionpond/entry/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/prompts.py
@@ -341,35 +341,48 @@
         stall_timeout_s = STALL_TIMEOUT_SHARE * client_timeout_s(gap_target)
         main = entries[placement.main]
         has_first_event = False
+        # Only complete events count as progress: an engine that is stuck may still send
+        # single bytes or comments.
+        progress_at, progress = sent_at, state.splitter.progress
         while True:
             now = fleet.now()
             if has_first_event:
                 # A silent stream is not ended if there is no further attempt.
                 can_retry = self._can_retry(state)
-                timeout_s = stall_timeout_s if can_retry else request.deadline_at - now
-                suspect_in_s = (
-                    fleet.expected_pause_s(main, state.model) + SUSPECT_STALL_S
-                )
-                if can_retry and fleet.is_unresponsive_to_peers(main):
-                    timeout_s = min(timeout_s, suspect_in_s)
+                end_at = request.deadline_at
+                suspect_at = progress_at + SUSPECT_STALL_S
+                suspect_at += fleet.expected_pause_s(main, state.model)
+                if can_retry:
+                    end_at = progress_at + stall_timeout_s
+                    if fleet.is_unresponsive_to_peers(main):
+                        end_at = min(end_at, suspect_at)
             else:
-                timeout_s = sent_at + first_event_timeout_s - now
-                suspect_in_s = sent_at + 2 * placement.first_event_s - now
-                suspect_in_s += SUSPECT_STALL_S
-            timeout_s = min(timeout_s, request.deadline_at - now)
+                end_at = sent_at + first_event_timeout_s
+                suspect_at = sent_at + 2 * placement.first_event_s + SUSPECT_STALL_S
+            end_at = min(end_at, request.deadline_at)
             try:
-                async with asyncio.timeout(max(0.001, timeout_s)):
-                    data = await self._read_chunk(response, main, suspect_in_s)
+                # What has already arrived is read even after the end, because the node
+                # itself may have been paused.
+                async with asyncio.timeout(max(0.001, end_at - now)):
+                    data = await self._read_chunk(response, main, suspect_at - now)
                 events = state.splitter.feed(data) if data else b""
             except TimeoutError:
-                return SilentUpstream(fleet.now() - now)
+                return SilentUpstream(fleet.now() - progress_at)
             except UpstreamError as error:
                 return error.outcome
             except StreamError as error:
                 return BrokenResponse(str(error))
             if not data:
                 break
-            pause_s = fleet.now() - now
+            if state.splitter.progress == progress:
+                if now >= end_at:
+                    return SilentUpstream(now - progress_at)
+                if events:
+                    await self._send_head(state, response)
+                    await reply.write(events)
+                continue
+            progress = state.splitter.progress
+            pause_s = fleet.now() - progress_at
             if has_first_event:
                 state.longest_pause_s = max(state.longest_pause_s, pause_s)
                 metrics.token_gap.observe(pause_s)
@@ -391,6 +404,8 @@
             if events:
                 await self._send_head(state, response)
                 await reply.write(events)
+            # After the write, because a slow client is no fault of the engine.
+            progress_at = fleet.now()
         if state.splitter.is_partial:
             return BrokenResponse("ended in the middle of an event")
         await self._send_head(state, response)
--- a/packages/dandelionpond/src/dandelionpond/entry/tests/test_mesh.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/tests/test_mesh.py
@@ -2,12 +2,21 @@
 
 from random import Random
 
+import pytest
+from hypothesis import given, strategies as st
+
 from dandelionpond.clock import SystemClock
 from dandelionpond.entry.fleet import Fleet
 from dandelionpond.entry.mesh import HeartbeatProtocol
 from dandelionpond.entry.settings import EntrySettings
 from dandelionpond.forwarding.budget import BudgetSettings
-from dandelionpond.mesh.messages import Heartbeat, decode_heartbeat, encode_heartbeat
+from dandelionpond.mesh.messages import (
+    Heartbeat,
+    WireJob,
+    decode_heartbeat,
+    encode_heartbeat,
+)
+from dandelionpond.placement.jobs import Phase
 
 SETTINGS = EntrySettings(
     name="n1",
@@ -76,3 +85,56 @@
         protocol.datagram_received(data, ("10.0.0.1", 7))
         contacted = {to for to, _ in transport.sent}
         assert {"10.0.0.2:7", "10.0.0.3:7"} <= contacted
+
+
+class TestMalformedDatagrams:
+    """A faulty peer, or another program that sends to the same port."""
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"address": "garbage"},
+            {"address": ""},
+            {"address": "10.0.0.9:"},
+            {"address": "10.0.0.9:99999"},
+            {"address": "host.example:7"},
+            {"peer_addresses": ("garbage", "10.0.0.9:x", "10.0.0.8:7")},
+        ],
+    )
+    def test_unusable_address_does_not_stop_later_heartbeats(self, fields):
+        """One datagram must not keep the node from sending to all its peers."""
+        protocol, transport = protocol_with_transport()
+        fields = {"address": "10.0.0.7:7"} | fields
+        protocol.datagram_received(datagram(**fields), ("10.0.0.7", 7))
+        transport.sent.clear()
+        protocol.send_regular()
+        assert "10.0.0.1:7" in {to for to, _ in transport.sent}
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes_are_survived(self, data):
+        """An unexpected error must neither leave the loop nor change the peers."""
+        protocol, _ = protocol_with_transport()
+        protocol.datagram_received(data, ("10.0.0.7", 7))
+        assert protocol._fleet.peers.addresses == ("10.0.0.1:7",)
+
+    @given(
+        st.integers(-(2**63), 2**63),
+        st.integers(-(2**63), 2**63),
+        st.text(max_size=8),
+        st.text(max_size=8),
+    )
+    def test_extreme_values_are_survived(self, revision, age_ms, node, instance):
+        """Extreme numbers and names must not stop the node from sending."""
+        protocol, transport = protocol_with_transport()
+        job = WireJob(instance, Phase.PREFILL, age_ms, age_ms)
+        received = Heartbeat(
+            node, "10.0.0.7:7", 1, 1, "a", False, revision, 0, 0, age_ms, (job,)
+        )
+        try:
+            data = encode_heartbeat(received)
+        except (OverflowError, UnicodeEncodeError):
+            return
+        protocol.datagram_received(data, ("10.0.0.7", 7))
+        protocol._fleet.jobs.load(instance, protocol._fleet.now())
+        protocol.send_regular()
+        assert {"10.0.0.1:7", "10.0.0.7:7"} <= {to for to, _ in transport.sent}
--- a/packages/dandelionpond/src/dandelionpond/entry/tests/test_upstream_client.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/tests/test_upstream_client.py
@@ -59,6 +59,11 @@
         writer.close()
 
 
+# Bytes after which an endless upstream of a test gives up; the socket buffers of both
+# sides take a few megabytes.
+ENDLESS_BYTES = 64 << 20
+
+
 async def send_request(address, method="GET", body=b""):
     client = UpstreamClient(CONNECT_TIMEOUT_S)
     try:
@@ -89,8 +94,18 @@
             response_bytes() + b"extra bytes",
             OK + b"Transfer-Encoding: chunked\r\n\r\nb\r\nhello world\r\n0\r\n\r\n",
             OK + b"\r\n" + BODY,
+            b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + response_bytes(),
+            b"HTTP/1.1 100 Continue\r\n\r\n" + response_bytes() + b"extra bytes",
+        ],
+        ids=[
+            "length",
+            "second response",
+            "extra bytes",
+            "chunked",
+            "until the end",
+            "interim response",
+            "interim response and extra bytes",
         ],
-        ids=["length", "second response", "extra bytes", "chunked", "until the end"],
     )
     def test_complete_body(self, response):
         """A complete response must not fail for bytes after it or a missing length."""
@@ -183,3 +198,71 @@
             server.close()
 
         asyncio.run(run())
+
+
+class EndlessUpstream:
+    """An upstream that sends `start` and then `piece` until the node disconnects."""
+
+    def __init__(self, start, piece):
+        self.start, self.piece = start, piece
+        self.sent_bytes = 0
+        self.disconnected = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self.start)
+        try:
+            while self.sent_bytes < ENDLESS_BYTES:
+                writer.write(self.piece)
+                await writer.drain()
+                self.sent_bytes += len(self.piece)
+        except OSError:
+            pass
+        self.disconnected.set()
+        writer.close()
+
+
+class TestEndlessBytes:
+    """An upstream in trouble that sends bytes without end until the node closes."""
+
+    @pytest.mark.parametrize(
+        ("start", "piece"),
+        [
+            (b"", b"x" * 1_000),
+            (b"", b"\x00\xff\r\n" * 250),
+            (OK, b"X-Filler: " + b"y" * 90 + b"\r\n"),
+            (OK, b"X-Filler: " + b"y" * 990),
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 40),
+            (OK + b"\r\n", b"z" * 1_000),
+            (OK + b"Transfer-Encoding: chunked\r\n\r\n", b"4\r\nzzzz\r\n" * 100),
+            (OK + b"Transfer-Encoding: chunked\r\n\r\n", b"f" * 1_000),
+            (OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"X: y\r\n" * 200),
+        ],
+        ids=[
+            "status line",
+            "garbage",
+            "header lines",
+            "header line",
+            "interim responses",
+            "body until the end",
+            "chunks",
+            "chunk size",
+            "trailer lines",
+        ],
+    )
+    def test_response_ends_after_bounded_bytes(self, start, piece):
+        """Endless bytes must use neither memory nor time without bound."""
+
+        async def run():
+            upstream = EndlessUpstream(start, piece)
+            server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+            address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            with pytest.raises(UpstreamError) as raised:
+                await send_request(address)
+            await upstream.disconnected.wait()
+            server.close()
+            return raised.value.outcome, upstream.sent_bytes
+
+        outcome, sent_bytes = asyncio.run(run())
+        assert isinstance(outcome, BrokenResponse)
+        assert sent_bytes < ENDLESS_BYTES
--- a/packages/dandelionpond/src/dandelionpond/entry/upstream_client.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/upstream_client.py
@@ -30,11 +30,14 @@
 # Milliseconds for which sent bytes may stay unacknowledged.
 USER_TIMEOUT_MS = 1_500
 READ_BYTES = 64 * 1024
+# Limit on the bytes of a response's head, interim responses included.
+MAX_HEAD_BYTES = 64 * 1024
 # Headers that aiohttp would add to those of the client.
 _NO_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
 _HEAD_END = b"\r\n\r\n"
+_INTERIM = re.compile(rb"HTTP/1\.[01] 1\d\d")
 _LENGTH = re.compile(rb"\r\ncontent-length:[ \t]*(\d+)[ \t]*\r\n", re.IGNORECASE)
 
 
@@ -49,29 +52,22 @@
 class _ResponseHandler(ResponseHandler):
     """A handler that records a connection error and drops bytes after a body.
 
-    aiohttp rejects a complete response if bytes that are no response follow it.
+    aiohttp rejects a complete response if bytes that are no response follow it, and
+    accepts interim responses (status 1xx) without end.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.was_reset = False
         self._head = b""
+        self._head_bytes = 0
         # Bytes of the body that are still expected; None while the head is read.
         self._remaining: float | None = None
 
     def data_received(self, data: bytes) -> None:
         """Pass on the bytes that belong to the response."""
         if self._remaining is None:
-            self._head += data
-            end = self._head.find(_HEAD_END)
-            if end >= 0:
-                length = _LENGTH.search(self._head, 0, end + 2)
-                body_bytes = float(length[1]) if length else math.inf
-                surplus = len(self._head) - end - len(_HEAD_END) - body_bytes
-                if surplus > 0:
-                    data = data[: len(data) - int(surplus)]
-                self._remaining = max(0.0, -surplus)
-                self._head = b""
+            data = self._read_head(data)
         else:
             data = (
                 data if len(data) <= self._remaining else data[: int(self._remaining)]
@@ -80,6 +76,26 @@
         if data:
             super().data_received(data)
 
+    def _read_head(self, data: bytes) -> bytes:
+        """Look for the end of the final head; return the bytes to pass on."""
+        self._head += data
+        self._head_bytes += len(data)
+        while (end := self._head.find(_HEAD_END)) >= 0:
+            if not _INTERIM.match(self._head):
+                length = _LENGTH.search(self._head, 0, end + 2)
+                body_bytes = float(length[1]) if length else math.inf
+                surplus = len(self._head) - end - len(_HEAD_END) - body_bytes
+                self._remaining = max(0.0, -surplus)
+                self._head = b""
+                return data[: len(data) - int(surplus)] if surplus > 0 else data
+            self._head = self._head[end + len(_HEAD_END) :]
+        if self._head_bytes > MAX_HEAD_BYTES:
+            reason = f"no complete response head in {MAX_HEAD_BYTES} bytes"
+            self.set_exception(aiohttp.ClientPayloadError(reason))
+            self.close()
+            return b""
+        return data
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record a reset, which aiohttp treats as the end of a body without length."""
         self.was_reset = exc is not None
--- a/packages/dandelionpond/src/dandelionpond/forwarding/events.py
+++ b/packages/dandelionpond/src/dandelionpond/forwarding/events.py
@@ -2,6 +2,7 @@
 
 _SEPARATOR = b"\n\n"
 _ID = b"id:"
+MAX_ID_DIGITS = 18
 
 
 class StreamError(Exception):
@@ -16,7 +17,14 @@
     to `max_event_bytes`.
     """
 
-    __slots__ = ("_buffer", "_max_event_bytes", "dropped", "forwarded", "last_event_id")
+    __slots__ = (
+        "_buffer",
+        "_max_event_bytes",
+        "dropped",
+        "forwarded",
+        "last_event_id",
+        "progress",
+    )
 
     def __init__(
         self, last_event_id: int | None, max_event_bytes: int = 1 << 20
@@ -26,6 +34,8 @@
         self.last_event_id = last_event_id
         self.forwarded = 0
         self.dropped = 0
+        # Number of complete events that were more than a comment.
+        self.progress = 0
 
     @property
     def is_partial(self) -> bool:
@@ -64,6 +74,7 @@
     def _accept(self, event: bytes) -> bool:
         """Return whether an event is new, and count it."""
         event_id = _event_id(event)
+        self.progress += event_id is not None or not _is_comment(event)
         if event_id is None:
             # Comments and events without an id have no position in the order.
             self.forwarded += 1
@@ -83,7 +94,11 @@
     for line in event.split(b"\n"):
         if line.startswith(_ID):
             text = line[len(_ID) :].strip()
-            if not text.isdigit():
+            if not text.isdigit() or len(text) > MAX_ID_DIGITS:
                 raise StreamError("event id is not a number")
             return int(text)
     return None
+
+
+def _is_comment(event: bytes) -> bool:
+    return all(not line or line.startswith(b":") for line in event.split(b"\n"))
--- a/packages/dandelionpond/src/dandelionpond/mesh/tests/test_peers.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/tests/test_peers.py
@@ -41,7 +41,10 @@
             Job("e", Phase.PREFILL, -0.25, 0.2, 5_000, 6_000, 0.25, 1.6, True),
             Job("f", Phase.HELPER_PREFILL, 0.1, 0.2),
         )
-        sent = heartbeat(jobs=pack_jobs(jobs), peer_addresses=("x:1",))
+        sent = msgspec.structs.replace(
+            heartbeat(jobs=pack_jobs(jobs), peer_addresses=("10.0.0.2:1",)),
+            address="10.0.0.3:1",
+        )
         assert decode_heartbeat(encode_heartbeat(sent)) == sent
         assert unpack_jobs(sent.jobs) == jobs
 
