Answer requests read in part at a planned stop, and refuse old state at a start

It stays open until the request is answered; the stop waits for it within its grace time. Connections in the listener's queue were answered before too. - A node that started beside a peer that had lost the store took the peer's state and served a withdrawn key.

--- a/packages/dandelionpond/src/dandelionpond/entry/attempts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/attempts.py
@@ -8,6 +8,7 @@
 from dandelionpond.entry.client_requests import IncomingRequest, Reply
 from dandelionpond.entry.fleet import Fleet
 from dandelionpond.entry.upstream_client import (
+    ResponseBuffer,
     UpstreamClient,
     UpstreamError,
     UpstreamResponse,
@@ -40,6 +41,9 @@
 
 # Largest response of a plain service that is buffered, in bytes.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Limit on the bytes of all responses that are being buffered. The smallest VMs have
+# about 100 MB beside the process itself.
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 # Default delay in seconds after which a refused client may retry. The list of upstreams
 # is refreshed about once in this time.
 RETRY_AFTER_S = 0.5
@@ -100,6 +104,7 @@
         self.client = client
         self.header_translator = header_translator
         self.metrics = metrics
+        self.response_buffer = ResponseBuffer(MAX_BUFFERED_BYTES)
         self.counters: dict[str, int] = {}
 
     def count(self, event: str) -> None:
@@ -166,7 +171,7 @@
         remaining = request.deadline_at - self.fleet.now()
         try:
             async with asyncio.timeout(max(0.001, remaining)):
-                body = await response.read_all(MAX_RESPONSE_BYTES)
+                body = await response.read_all(MAX_RESPONSE_BYTES, self.response_buffer)
         except UpstreamError as error:
             return AttemptResult(error.outcome)
         except TimeoutError:
--- a/packages/dandelionpond/src/dandelionpond/entry/calls.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/calls.py
@@ -140,7 +140,9 @@
             remaining = timeout_s - (forwarder.fleet.now() - started_at)
             try:
                 async with asyncio.timeout(max(0.001, remaining)):
-                    body = await response.read_all(MAX_RESPONSE_BYTES)
+                    body = await response.read_all(
+                        MAX_RESPONSE_BYTES, forwarder.response_buffer
+                    )
             except UpstreamError as error:
                 return AttemptResult(error.outcome)
             except TimeoutError:
--- a/packages/dandelionpond/src/dandelionpond/entry/process.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/process.py
@@ -174,8 +174,9 @@
         self._heartbeats.send_regular()
 
     async def _shutdown_tick(self) -> None:
+        assert self._listener is not None
         pending = PendingWork(
-            streams=self._app.in_flight,
+            streams=self._app.in_flight + self._listener.partial_requests,
             pending_releases=self._reservations.active_count,
         )
         self._advance_shutdown(Tick(pending))
--- a/packages/dandelionpond/src/dandelionpond/entry/state_sync.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/state_sync.py
@@ -190,6 +190,7 @@
         is_reachable = result.is_ok()
         if not is_reachable:
             self.counters["failed_reads"] += 1
+            self._fleet.published.trust_old_state()
         if is_reachable != self._is_store_reachable:
             self._is_store_reachable = is_reachable
             if is_reachable:
--- a/packages/dandelionpond/src/dandelionpond/entry/upstream_client.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/upstream_client.py
@@ -128,6 +128,29 @@
     return sock
 
 
+class ResponseBuffer:
+    """The limit on the bytes of responses that are buffered at the same time."""
+
+    __slots__ = ("max_bytes", "peak_bytes", "used_bytes")
+
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self.used_bytes = 0
+        self.peak_bytes = 0
+
+    def take(self, size: int) -> bool:
+        """Reserve bytes; return False if the limit is reached."""
+        if self.used_bytes + size > self.max_bytes:
+            return False
+        self.used_bytes += size
+        self.peak_bytes = max(self.peak_bytes, self.used_bytes)
+        return True
+
+    def release(self, size: int) -> None:
+        """Release reserved bytes."""
+        self.used_bytes -= size
+
+
 class UpstreamResponse:
     """A response whose head is read and whose body is read in pieces."""
 
@@ -154,20 +177,26 @@
             )
         return data
 
-    async def read_all(self, max_bytes: int) -> bytes:
+    async def read_all(self, max_bytes: int, buffer: ResponseBuffer) -> bytes:
         """Return the whole body.
 
-        Raises UpstreamError if it is cut off or longer than `max_bytes`.
+        Raises UpstreamError if it is cut off, longer than `max_bytes`, or if all
+        responses together exceed the limit of `buffer`.
         """
         parts = []
         size = 0
-        while data := await self.read():
-            size += len(data)
-            if size > max_bytes:
-                raise UpstreamError(
-                    BrokenResponse(f"response body exceeds {max_bytes} bytes")
-                )
-            parts.append(data)
+        try:
+            while data := await self.read():
+                if size + len(data) > max_bytes:
+                    reason = f"response body exceeds {max_bytes} bytes"
+                    raise UpstreamError(BrokenResponse(reason))
+                if not buffer.take(len(data)):
+                    reason = f"responses in progress exceed {buffer.max_bytes} bytes"
+                    raise UpstreamError(BrokenResponse(reason))
+                size += len(data)
+                parts.append(data)
+        finally:
+            buffer.release(size)
         return b"".join(parts)
 
     def close(self) -> None:
--- a/packages/dandelionpond/src/dandelionpond/http/server.py
+++ b/packages/dandelionpond/src/dandelionpond/http/server.py
@@ -21,9 +21,16 @@
 
 
 class BoundedProtocol(HttpToolsProtocol):
-    """HTTP protocol with JSON errors for malformed requests and a header timeout."""
+    """HTTP protocol with JSON errors for malformed requests and a header timeout.
+
+    A connection on which a request has begun to arrive stays open during a planned stop
+    until the request is answered; the header timeout bounds the wait.
+    """
 
     _header_timer: asyncio.TimerHandle | None = None
+    _is_stopping = False
+    # Whether a part of a request's head has been read, but not all of it.
+    is_reading_head = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Start the header timeout of the first request."""
@@ -38,13 +45,24 @@
     def on_message_begin(self) -> None:
         """Start the header timeout of a later request."""
         super().on_message_begin()
+        self.is_reading_head = True
         if self._header_timer is None:
             self._start_header_timer()
 
     def on_headers_complete(self) -> None:
         """Stop the header timeout."""
         self._stop_header_timer()
+        self.is_reading_head = False
         super().on_headers_complete()
+        if self._is_stopping:
+            self.cycle.keep_alive = False
+
+    def shutdown(self) -> None:
+        """Close an idle connection; otherwise close it after the current request."""
+        if self.is_reading_head:
+            self._is_stopping = True
+        else:
+            super().shutdown()
 
     def send_400_response(self, msg: str) -> None:
         """Send a JSON error body instead of the plain text of uvicorn."""
@@ -166,6 +184,14 @@
         """Return the number of open connections."""
         return len(self._server.server_state.connections)
 
+    @property
+    def partial_requests(self) -> int:
+        """Return the number of requests whose heads have been read in part."""
+        return sum(
+            getattr(connection, "is_reading_head", False)
+            for connection in self._server.server_state.connections
+        )
+
     async def start(self) -> None:
         """Start accepting connections; return once the listener is open."""
         self._task = asyncio.create_task(self._server.serve(self._sockets))
--- a/packages/dandelionpond/src/dandelionpond/published/state.py
+++ b/packages/dandelionpond/src/dandelionpond/published/state.py
@@ -40,6 +40,7 @@
         "_entries",
         "_held_entries",
         "_hold_until",
+        "_is_trusted",
         "_list_read_at",
         "_list_revision",
         "_outage_age_s",
@@ -53,6 +54,7 @@
         self._entries: dict[str, UpstreamEntry] = {}
         self._held_entries: dict[str, UpstreamEntry] = {}
         self._hold_until = 0.0
+        self._is_trusted = False
         self._list_revision = 0
         self._document_revision = 0
         self._list_read_at: float | None = None
@@ -89,8 +91,20 @@
 
     @property
     def is_complete(self) -> bool:
-        """Return whether both a document and a list are known."""
-        return self._table is not None and self._list_read_at is not None
+        """Return whether both a document and a list are known and may be used.
+
+        A node that starts does not use old state of a peer before it has tried to read
+        the store: the peer may be cut off, and a key or an upstream withdrawn since.
+        """
+        return (
+            self._table is not None
+            and self._list_read_at is not None
+            and self._is_trusted
+        )
+
+    def trust_old_state(self) -> None:
+        """Permit the use of old state, because the store cannot be read."""
+        self._is_trusted = True
 
     def list_age_s(self, now: float) -> float | None:
         """Return the age of the newest list in seconds, or None before the first."""
@@ -114,6 +128,7 @@
         `read_at` is the time at which the snapshot was read from the platform.
         """
         before = self._digest
+        self._is_trusted |= now - read_at <= self._outage_age_s
         self._update_document(snapshot)
         if snapshot.store_revision < self._list_revision:
             self.counters.old_lists += 1
