--- a/packages/dandelionpond/src/dandelionpond/entry/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/prompts.py
@@ -188,12 +188,20 @@
         placement: PromptPlacement,
         entries: dict[str, UpstreamEntry],
     ) -> AttemptResult:
+        fleet = self._forwarder.fleet
         if placement.start_delay_s > 0:
             await self._hold(state, placement.start_delay_s)
             names = (placement.main, *placement.helpers)
-            if not self._forwarder.fleet.are_ready(names):
+            if not fleet.are_ready(names):
                 reason = "an engine left while the prompt was held"
                 return AttemptResult(NotSent(reason, is_unreachable=False))
+        if placement.helpers:
+            unreachable = await self._find_unreachable(placement, entries)
+            if unreachable:
+                for name in unreachable:
+                    fleet.record_failure(name, is_unresponsive=True)
+                reason = f"helpers are unreachable: {', '.join(sorted(unreachable))}"
+                return AttemptResult(NotSent(reason, is_unreachable=False))
         if placement.reserved:
             return await self._send_with_reservation(state, placement, entries)
         return await self._send_and_relay(state, placement, entries, None)
@@ -220,6 +228,24 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         fleet.jobs.mark_sent(local_id, fleet.now())
 
+    async def _find_unreachable(
+        self, placement: PromptPlacement, entries: dict[str, UpstreamEntry]
+    ) -> set[str]:
+        """Return the helpers that accept no connection.
+
+        One dead helper fails the whole prompt, which uses up an attempt. After a crash
+        of several engines, the next attempt would often meet another one.
+        """
+        client = self._forwarder.client
+        are_reachable = await asyncio.gather(
+            *(client.is_reachable(entries[name].address) for name in placement.helpers)
+        )
+        return {
+            name
+            for name, is_reachable in zip(placement.helpers, are_reachable, strict=True)
+            if not is_reachable
+        }
+
     async def _send_with_reservation(
         self,
         state: _PromptState,
--- a/packages/dandelionpond/src/dandelionpond/entry/tests/test_upstream_client.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/tests/test_upstream_client.py
@@ -150,6 +150,20 @@
             asyncio.run(send_request(address))
         assert isinstance(raised.value.outcome, NotSent)
 
+    def test_reachability(self):
+        """A helper that is dead must be known before a prompt is sent."""
+
+        async def run():
+            client = UpstreamClient(CONNECT_TIMEOUT_S)
+            async with Upstream(response_bytes()) as upstream:
+                address = upstream.address
+                was_reachable = await client.is_reachable(address)
+            is_reachable = await client.is_reachable(address)
+            await client.close()
+            return was_reachable, is_reachable
+
+        assert asyncio.run(run()) == (True, False)
+
     def test_response_before_the_body_is_read(self):
         """A response that arrives while the body is being sent must not be lost."""
 
--- a/packages/dandelionpond/src/dandelionpond/entry/upstream_client.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/upstream_client.py
@@ -217,6 +217,7 @@
         loop = asyncio.get_running_loop()
         # aiohttp has no public API that tells how a connection ended.
         connector._factory = functools.partial(_ResponseHandler, loop)  # type: ignore[assignment]
+        self._connect_timeout_s = connect_timeout_s
         self._session = aiohttp.ClientSession(
             connector=connector,
             response_class=_ClientResponse,
@@ -252,6 +253,17 @@
         assert isinstance(response, _ClientResponse)
         return UpstreamResponse(response)
 
+    async def is_reachable(self, address: str) -> bool:
+        """Return whether an upstream accepts a connection."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            return False
+        writer.transport.abort()
+        return True
+
     async def close(self) -> None:
         """Close all connections."""
         await self._session.close()
--- a/tests/platform_adapter/test_deployment_faults.py
+++ b/tests/platform_adapter/test_deployment_faults.py
@@ -166,3 +166,35 @@
             assert versions == sorted(versions)
 
         run_on_cluster(scenario, app_worker(), llm_worker())
+
+
+class TestEnginesCrashTogether:
+    """Several engines crash at once while long prompts use them as helpers."""
+
+    def test_dead_helpers_use_up_no_attempt(self):
+        """A prompt must not be refused because its placements named dead helpers."""
+        engines = [llm_worker(f"e{number}") for number in range(8)]
+
+        async def send_long_prompt(cluster):
+            for engine in engines:
+                engine.requests.clear()
+            status, _, _ = await cluster.fetch(
+                "/chat/", Dandelionpond_Token_Count="150000,100"
+            )
+            assert status == 200
+            requests = [request for engine in engines for request in engine.requests]
+            return [
+                headers["Dandelionpond-Helpers"].split(",")
+                for _, _, headers, _ in requests
+            ]
+
+        async def scenario(cluster):
+            [helpers] = await send_long_prompt(cluster)
+            dead = set(helpers[:2])
+            for engine in engines:
+                if engine.address in dead:
+                    await engine.stop()
+            for helpers in await send_long_prompt(cluster):
+                assert not dead & set(helpers)
+
+        run_on_cluster(scenario, *engines)
