Hold a request for the first settings of a node that starts

Change: the first read comes after 0.1 s instead of 0.25 s, and a request waits for the first settings for at most 0.5 s and a tenth of its time limit; if the store could not be read it is refused at once.

--- a/packages/dandelionpond/src/dandelionpond/entry/app.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/app.py
@@ -19,6 +19,12 @@
 
 # Seconds after which clients may retry while this node has no settings yet.
 NO_SETTINGS_RETRY_AFTER_S = 0.5
+# Longest time in seconds that a request waits for the first settings of a node that has
+# just started, the longest share of its own time limit, and the interval of checks. A
+# node gets its settings within a few tenths of a second if a peer or the store answers.
+MAX_SETTINGS_WAIT_S = 0.5
+MAX_SETTINGS_WAIT_SHARE = 0.1
+SETTINGS_CHECK_INTERVAL_S = 0.02
 
 
 class ClientDisconnected(Exception):
@@ -129,13 +135,30 @@
         reply.closes_connection = True
         await self._forwarder.refuse(request_id, reply, kind)
 
+    async def _wait_for_settings(
+        self, arrived_at: float, timeout_s: float | None
+    ) -> None:
+        """Wait for the first settings, until it is no longer worth it for a request.
+
+        A client that is refused comes back only once or twice.
+        """
+        fleet = self._forwarder.fleet
+        # The store was tried and peers were asked: settings will not come soon.
+        while not fleet.published.is_complete and not fleet.published.is_old_trusted:
+            if fleet.now() - arrived_at >= _settings_wait_s(timeout_s):
+                return
+            await asyncio.sleep(SETTINGS_CHECK_INTERVAL_S)
+
     async def _handle(
         self, scope: Any, body: bytes, reply: Reply, arrived_at: float
     ) -> None:
         headers: Headers = tuple(scope["headers"])
         head = self._forwarder.header_translator.parse_request(headers)
-        table = self._forwarder.fleet.published.table
-        if table is None or not self._forwarder.fleet.published.is_complete:
+        published = self._forwarder.fleet.published
+        if not published.is_complete:
+            await self._wait_for_settings(arrived_at, head.timeout_s)
+        table = published.table
+        if table is None or not published.is_complete:
             kind = ErrorKind.SETTINGS_UNAVAILABLE
             await self._forwarder.refuse(
                 head.request_id, reply, kind, NO_SETTINGS_RETRY_AFTER_S
@@ -177,6 +200,13 @@
             await self._calls.run(request, reply)
 
 
+def _settings_wait_s(timeout_s: float | None) -> float:
+    """Return how long a request with a time limit waits for the first settings."""
+    if timeout_s is None:
+        return MAX_SETTINGS_WAIT_S
+    return min(MAX_SETTINGS_WAIT_S, MAX_SETTINGS_WAIT_SHARE * timeout_s)
+
+
 def _match_route(
     table: RouteTable, host: str, path: str, key: str | None
 ) -> tuple[Route, Account | None] | ErrorKind:
--- a/packages/dandelionpond/src/dandelionpond/entry/mesh.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/mesh.py
@@ -1,9 +1,11 @@
 """Send and receive the heartbeats of a node."""
 
 import asyncio
+import functools
+import ipaddress
 import logging
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import cast
 
 import msgspec
@@ -65,7 +67,8 @@
         """Process a heartbeat from a peer."""
         try:
             heartbeat = decode_heartbeat(data)
-        except msgspec.MsgspecError as error:
+            _check_addresses((heartbeat.address, *heartbeat.peer_addresses))
+        except (msgspec.MsgspecError, ValueError) as error:
             self.invalid_datagrams += 1
             log.warning(
                 "invalid datagram dropped",
@@ -216,3 +219,22 @@
             wants_reply,
             capacity=fleet.settings.capacity,
         )
+
+
+def _check_addresses(addresses: Iterable[str]) -> None:
+    """Raise ValueError if no datagram can be sent to one of the addresses."""
+    for address in addresses:
+        if not _is_datagram_address(address):
+            raise ValueError(f"address {address[:40]!r} is not IP:port")
+
+
+# The addresses repeat with each heartbeat.
+@functools.lru_cache(maxsize=4_096)
+def _is_datagram_address(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    is_number = port.isascii() and port.isdecimal() and len(port) <= 5
+    return is_number and 0 < int(port) < 65_536
--- a/packages/dandelionpond/src/dandelionpond/mesh/messages.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/messages.py
@@ -1,7 +1,5 @@
 """Define the datagrams that nodes exchange."""
 
-import functools
-import ipaddress
 from collections.abc import Iterable
 
 import msgspec
@@ -71,29 +69,8 @@
 
 
 def decode_heartbeat(data: bytes) -> Heartbeat:
-    """Decode a datagram.
-
-    Raises `msgspec.MsgspecError` if it is not a heartbeat, or if it names an address to
-    which no datagram can be sent.
-    """
-    heartbeat = _decoder.decode(data)
-    for address in (heartbeat.address, *heartbeat.peer_addresses):
-        if not _is_datagram_address(address):
-            raise msgspec.ValidationError(f"address {address[:40]!r} is not IP:port")
-    return heartbeat
-
-
-# The addresses repeat with each heartbeat.
-@functools.lru_cache(maxsize=4_096)
-def _is_datagram_address(address: str) -> bool:
-    host, _, port = address.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        return False
-    if not port.isascii() or not port.isdecimal():
-        return False
-    return len(port) <= 5 and 0 < int(port) < 65_536
+    """Decode a datagram; raise `msgspec.MsgspecError` if it is not a heartbeat."""
+    return _decoder.decode(data)
 
 
 def pack_jobs(jobs: Iterable[Job]) -> tuple[WireJob, ...]:
--- a/packages/dandelionpond/src/dandelionpond/published/readers.py
+++ b/packages/dandelionpond/src/dandelionpond/published/readers.py
@@ -12,7 +12,7 @@
 MAX_EFFECT_LIMIT_S = 4.0
 # Time in seconds that a starting node waits for its peers to tell it what they have
 # read, before it reads the store itself.
-FIRST_READ_DELAY_S = 0.25
+FIRST_READ_DELAY_S = 0.1
 # Number of takeover steps after which the remaining nodes read at the same time.
 MAX_TAKEOVER_STEPS = 4
 # Longest delay in seconds before the next read of the elected reader after failed
--- a/packages/dandelionpond/src/dandelionpond/published/state.py
+++ b/packages/dandelionpond/src/dandelionpond/published/state.py
@@ -40,6 +40,7 @@
         "_entries",
         "_held_entries",
         "_hold_until",
+        "_is_old_trusted",
         "_is_trusted",
         "_list_read_at",
         "_list_revision",
@@ -55,6 +56,7 @@
         self._held_entries: dict[str, UpstreamEntry] = {}
         self._hold_until = 0.0
         self._is_trusted = False
+        self._is_old_trusted = False
         self._list_revision = 0
         self._document_revision = 0
         self._list_read_at: float | None = None
@@ -99,12 +101,17 @@
         return (
             self._table is not None
             and self._list_read_at is not None
-            and self._is_trusted
+            and (self._is_trusted or self._is_old_trusted)
         )
 
+    @property
+    def is_old_trusted(self) -> bool:
+        """Return whether old state may be used, because the store cannot be read."""
+        return self._is_old_trusted
+
     def trust_old_state(self) -> None:
         """Permit the use of old state, because the store cannot be read."""
-        self._is_trusted = True
+        self._is_old_trusted = True
 
     def list_age_s(self, now: float) -> float | None:
         """Return the age of the newest list in seconds, or None before the first."""
--- a/tests/platform_adapter/test_deployment_faults.py
+++ b/tests/platform_adapter/test_deployment_faults.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 from platform_stubs import ROUTES, StubWorker, routing_config
-from test_node import app_worker, llm_worker, run_on_cluster
+from test_node import app_worker, entry_settings, llm_worker, run_on_cluster
 
 # Number of requests of a test: enough to show a pattern, few enough for a busy machine.
 REQUEST_COUNT = 12
@@ -198,3 +198,38 @@
                 assert not dead & set(helpers)
 
         run_on_cluster(scenario, *engines)
+
+
+class TestAllNodesStartTogether:
+    """Clients that come back while all nodes are still without settings."""
+
+    def test_request_of_the_first_moments_is_served(self):
+        """A refusal would use up the client's retry although settings come at once."""
+
+        async def scenario(cluster):
+            # A node that is not awaited: its first read of the store is still to come.
+            settings = entry_settings("n2", cluster.store.address)
+            node = await cluster.start_unready_node(settings)
+            assert not node._fleet.published.is_complete
+            status, _, _ = await cluster.fetch("/call/", settings=settings)
+            assert status == 200
+
+        run_on_cluster(scenario, app_worker())
+
+    def test_request_is_refused_at_once_if_the_store_is_down(self):
+        """Settings that are not coming must not be waited for by each request."""
+
+        async def scenario(cluster):
+            cluster.store.fault = 503
+            settings = entry_settings("n2", cluster.store.address)
+            node = await cluster.start_unready_node(settings)
+
+            async def has_failed():
+                return node._sync.counters["failed_reads"] > 0
+
+            await cluster.wait_until(has_failed)
+            assert node._fleet.published.is_old_trusted
+            status, _, _ = await cluster.fetch("/call/", settings=settings)
+            assert status == 503
+
+        run_on_cluster(scenario, app_worker())
--- a/tests/platform_adapter/test_node.py
+++ b/tests/platform_adapter/test_node.py
@@ -80,6 +80,13 @@
 
     async def start_node(self, name, store_address=None, seeds=()):
         settings = entry_settings(name, store_address or self.store.address, seeds)
+        node = await self.start_unready_node(settings)
+        if store_address is None:
+            await self.wait_until(lambda: self.is_ready(settings))
+        return settings, node
+
+    async def start_unready_node(self, settings):
+        """Start a node without waiting until it has settings."""
         node = EntryProcess(
             settings,
             PlatformHeaderTranslator(),
@@ -91,9 +98,7 @@
         # Slow responses on a busy machine must not count as an unresponsive worker.
         node._app._calls._average_response_s["app"] = WAIT_TIMEOUT_S
         await node.start()
-        if store_address is None:
-            await self.wait_until(lambda: self.is_ready(settings))
-        return settings, node
+        return node
 
     async def is_ready(self, settings):
         url = f"http://{settings.ready_address}/dandelionpond/ready"
