--- a/packages/dandelionpond/src/dandelionpond/entry/state_sync.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/state_sync.py
@@ -79,11 +79,12 @@
         fleet, published = self._fleet, self._fleet.published
         if heartbeat.list_age_ms < 0 or not heartbeat.fetch_address:
             return
-        read_at = fleet.now() - heartbeat.list_age_ms / MS_PER_S
+        now = fleet.now()
+        read_at = now - heartbeat.list_age_ms / MS_PER_S
         if (
             heartbeat.list_revision >= published.list_revision
             and published.confirm_list(
-                heartbeat.list_revision, heartbeat.digest, read_at
+                heartbeat.list_revision, heartbeat.digest, read_at, now
             )
         ):
             return
--- a/packages/dandelionpond/src/dandelionpond/published/state.py
+++ b/packages/dandelionpond/src/dandelionpond/published/state.py
@@ -144,7 +144,9 @@
         self._digest = self._compute_digest()
         return self._digest != before
 
-    def confirm_list(self, revision: int, digest: int, read_at: float) -> bool:
+    def confirm_list(
+        self, revision: int, digest: int, read_at: float, now: float
+    ) -> bool:
         """Renew the list if a peer read the same content more recently.
 
         Returns False if the content differs and has to be fetched.
@@ -153,6 +155,7 @@
             return False
         self._list_revision = max(self._list_revision, revision)
         self._list_read_at = max(self._list_read_at, read_at)
+        self._is_trusted |= now - read_at <= self._outage_age_s
         return True
 
     def entries(self, now: float) -> tuple[UpstreamEntry, ...]:
--- a/packages/dandelionpond/src/dandelionpond/published/tests/test_state.py
+++ b/packages/dandelionpond/src/dandelionpond/published/tests/test_state.py
@@ -113,7 +113,7 @@
         """Guard against a fetch each time an upstream renews its unchanged entry."""
         state = PublishedState(TIMING)
         state.update(snapshot(1, entry("a"), version=1), 0.0, 0.0)
-        assert state.confirm_list(5, state.digest, 3.0)
+        assert state.confirm_list(5, state.digest, 3.0, 3.1)
         assert state.list_revision == 5
         assert state.list_age_s(4.0) == 1.0
 
@@ -122,10 +122,28 @@
         state, peer = PublishedState(TIMING), PublishedState(TIMING)
         state.update(snapshot(1, entry("a"), version=1), 0.0, 0.0)
         peer.update(snapshot(2, entry("a", LEAVING), version=1), 0.0, 0.0)
-        assert not state.confirm_list(2, peer.digest, 0.1)
+        assert not state.confirm_list(2, peer.digest, 0.1, 0.2)
         state.update(peer.snapshot(), 0.1, 0.2)
         assert state.digest == peer.digest
 
+    def test_old_state_may_be_used_once_a_peer_confirms_it(self):
+        """Guard against a node that starts beside a stale peer and never serves."""
+        state = PublishedState(TIMING)
+        state.update(snapshot(1, entry("a"), version=1), 0.0, 60.0)
+        assert not state.is_complete
+        assert state.confirm_list(2, state.digest, 50.0, 60.0)
+        assert not state.is_complete
+        assert state.confirm_list(3, state.digest, 60.5, 61.0)
+        assert state.is_complete
+
+    def test_old_state_may_be_used_after_a_failed_read(self):
+        """Guard against nodes that serve nothing when they start in an outage."""
+        state = PublishedState(TIMING)
+        state.trust_old_state()
+        assert not state.is_complete
+        state.update(snapshot(1, entry("a"), version=1), 0.0, 60.0)
+        assert state.is_complete
+
     def test_digest_does_not_depend_on_order(self):
         """Guard against endless fetches between nodes whose lists differ in order."""
         first, second = PublishedState(TIMING), PublishedState(TIMING)
