Tell an engine's crash from a lost connection, and log the parts of its prompts

Neither logs nor metrics could tell whether crashes follow a part of the prompt, the engines' own load or the retries. After a lost connection the node now connects once more: an engine that refuses has crashed. The end of the request names the parts, and whether a response head had come.

--- a/packages/dandelionpond/src/dandelionpond/entry/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/prompts.py
@@ -49,6 +49,8 @@
 # end of earlier prefills, and the maximum share of its remaining time that it is held.
 MAX_EXTRA_HOLD_S = 0.8
 MAX_HOLD_SHARE = 0.5
+# Number of parts of a prompt that are logged if its engine crashed.
+MAX_LOGGED_PARTS = 16
 
 
 class _PromptState:
@@ -57,6 +59,7 @@
     __slots__ = (
         "attempt_log",
         "first_event_s",
+        "has_head",
         "longest_pause_s",
         "model",
         "progress",
@@ -78,6 +81,8 @@
         # Time from the last send to its first event, and longest time between events.
         self.first_event_s = 0.0
         self.longest_pause_s = 0.0
+        # Whether the last attempt received a response head.
+        self.has_head = False
 
 
 class PromptForwarder:
@@ -161,6 +166,8 @@
     ) -> AttemptResult:
         fleet, request = self._forwarder.fleet, state.request
         started_at = fleet.now()
+        state.first_event_s = 0.0
+        state.has_head = False
         fleet.jobs.start(request.local_id, _build_jobs(state, placement), started_at)
         state.attempt_log.predicted_s = placement.first_event_s
         log_entry = state.attempt_log.add_attempt(
@@ -173,6 +180,10 @@
         try:
             result = await self._send(state, placement, entries)
             log_entry["outcome"] = describe_outcome(result.outcome)
+            if isinstance(result.outcome, BrokenResponse):
+                await self._record_lost_connection(
+                    state, entries[placement.main], log_entry
+                )
         finally:
             log_entry.update(
                 took_s=round(fleet.now() - started_at, 3),
@@ -182,6 +193,19 @@
             )
         return result
 
+    async def _record_lost_connection(
+        self, state: _PromptState, main: UpstreamEntry, log_entry: dict[str, object]
+    ) -> None:
+        """Count and log whether an engine crashed while it ran a prompt."""
+        has_crashed = await self._forwarder.client.refuses_connections(main.address)
+        event = "upstream_crashed" if has_crashed else "upstream_connection_lost"
+        self._forwarder.count(event)
+        log_entry.update(
+            crashed=has_crashed,
+            has_head=state.has_head,
+            parts=list(state.request.head.part_ids[:MAX_LOGGED_PARTS]),
+        )
+
     async def _send(
         self,
         state: _PromptState,
@@ -299,6 +323,7 @@
                 return AttemptResult(head)
             if head.status >= 400:
                 return await forwarder.read_failure(request, response, head)
+            state.has_head = True
             outcome = await self._relay(
                 state, placement, entries, response, started_at, timeout_s
             )
--- a/packages/dandelionpond/src/dandelionpond/entry/upstream_client.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/upstream_client.py
@@ -264,6 +264,22 @@
         writer.transport.abort()
         return True
 
+    async def refuses_connections(self, address: str) -> bool:
+        """Return whether no process listens at an upstream's address any more.
+
+        A host that does not respond may only be cut off, and is not reported.
+        """
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.transport.abort()
+        return False
+
     async def close(self) -> None:
         """Close all connections."""
         await self._session.close()
--- a/packages/dandelionpond/src/dandelionpond/forwarding/messages.py
+++ b/packages/dandelionpond/src/dandelionpond/forwarding/messages.py
@@ -12,7 +12,8 @@
 
     `timeout_s` is how long the client waits. `prompt_tokens` and `max_output_tokens`
     are zero on routes without prompts. `last_event_id` is the id of the event after
-    which a stream resumes.
+    which a stream resumes. `part_ids` names the parts of the prompt in order; the last
+    one belongs to the request or its session alone.
     """
 
     request_id: str
@@ -21,6 +22,7 @@
     prompt_tokens: int
     max_output_tokens: int
     last_event_id: int | None
+    part_ids: tuple[str, ...] = ()
 
 
 class Helper(msgspec.Struct, frozen=True):
