--- a/tests/platform_adapter/platform_stubs.py
+++ b/tests/platform_adapter/platform_stubs.py
@@ -212,10 +212,14 @@
             )
         return await self._stream(request, headers, behavior)
 
-    async def _stream(self, request, headers, behavior):
+    async def _start_stream(self, request, headers):
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
+        return response
+
+    async def _stream(self, request, headers, behavior):
+        response = await self._start_stream(request, headers)
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         for number in range(first, self.events + 1):
             event = b"id: %d\ndata: x\n\n" % number
