Keep prompts with a part that crashes engines from reaching further engines

Cause: failures were recorded against upstreams only. Nothing linked the crash of an engine to the prompt that it had just begun to answer, so a node sent such a prompt again, and each node had to accept every new one.

Change: a node reports a crash (the engine refuses connections after it broke off) with the parts of the prompts whose answers it had just begun. All nodes get the reports with the heartbeats and look for the fewest parts that explain the crashes: three of them, one after the other, without an answer to a prompt with that part in between. Prompts with the part are refused, with status 503 before and 502 after a send. The quarantine holds for the client account whose prompts crashed engines, and for all after a crash under a second one, so that a caller who names parts of others gets only itself refused. It spreads by heartbeat, to nodes that start as well. 30 s after the crash one node tries one prompt; the time doubles with each trial that fails, and an answer ends it.

--- a/packages/dandelionpond/src/dandelionpond/entry/fleet.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/fleet.py
@@ -37,6 +37,9 @@
     UpstreamState,
 )
 from dandelionpond.published.state import PublishedState
+from dandelionpond.quarantine.messages import ALL_ACCOUNTS, PromptKey
+from dandelionpond.quarantine.quarantine import PromptQuarantine, Refused
+from dandelionpond.quarantine.table import Quarantine
 
 log = logging.getLogger("dandelionpond.fleet")
 
@@ -80,6 +83,8 @@
         self.published = PublishedState(settings.reads)
         self.jobs = JobTracker()
         self.health = HealthTracker()
+        self.quarantine = PromptQuarantine(settings.name)
+        self.quarantine.on_change = self._log_quarantine
         self.peers = HeartbeatPeerTable(
             settings.mesh_address, settings.failure_domain, settings.seeds, random
         )
@@ -193,6 +198,34 @@
             return place_group(prompt, engines, model, GROUP_MEMORY_SETTINGS)
         return placement
 
+    def check_quarantine(self, key: PromptKey, request_id: str) -> Refused | None:
+        """Return None if a prompt may be sent; see `PromptQuarantine.check`."""
+        now = self.now()
+        return self.quarantine.check(
+            key,
+            request_id,
+            now,
+            lambda: (
+                peer.heartbeat.node
+                for peer in self.peers.live_peers(now)
+                if peer.heartbeat is not None and not peer.heartbeat.is_leaving
+            ),
+        )
+
+    def _log_quarantine(self, change: str, entry: Quarantine) -> None:
+        now = self.now()
+        log.warning(
+            change,
+            extra={
+                "part": f"{entry.part:016x}",
+                "all_accounts": entry.account == ALL_ACCOUNTS,
+                "sequence": entry.sequence,
+                "failed_trials": entry.failed_trials,
+                "crash_age_s": round(now - entry.crashed_at, 3),
+                "trial_in_s": round(max(0.0, entry.trial_due_at - now), 3),
+            },
+        )
+
     def should_avoid(self, entry: UpstreamEntry) -> bool:
         """Return whether other upstreams should be preferred to this one.
 
@@ -326,6 +359,7 @@
         now = self.now()
         self.jobs.expire_peers(now, self.peers.silence_limit_s)
         self.refresh_unresponsive()
+        self.quarantine.tick(now)
         nodes = len(self.peers.live_peers(now)) + 1
         for share in self._retry_budgets.values():
             share.set_node_count(nodes)
--- a/packages/dandelionpond/src/dandelionpond/entry/mesh.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/mesh.py
@@ -39,6 +39,8 @@
         self._sequence = 0
         self._sent_changes = 0
         self._pending_send: asyncio.TimerHandle | None = None
+        # Whether the pending heartbeat goes to all live peers.
+        self._has_news = False
         self._live_nodes: frozenset[str] = frozenset()
         self.is_leaving = False
         self.invalid_datagrams = 0
@@ -85,6 +87,8 @@
         fleet.jobs.update_peer(address, unpack_jobs(heartbeat.jobs), now)
         if heartbeat.unresponsive_upstreams:
             fleet.refresh_unresponsive()
+        if heartbeat.quarantine is not None:
+            fleet.quarantine.receive(heartbeat.quarantine, now)
         if heartbeat.wants_reply:
             self._send(address, self._build_heartbeat(PEERS_IN_REPLY))
         self._greet_new_peers(address if heartbeat.wants_reply else None)
@@ -102,6 +106,13 @@
             loop = asyncio.get_running_loop()
             self._pending_send = loop.call_later(CHANGE_DELAY_S, self._send_pending)
 
+    def schedule_news(self) -> None:
+        """Send a heartbeat to all live peers after `CHANGE_DELAY_S`."""
+        self._has_news = True
+        if self._pending_send is None:
+            loop = asyncio.get_running_loop()
+            self._pending_send = loop.call_later(CHANGE_DELAY_S, self._send_pending)
+
     def send_now(self) -> None:
         """Send a heartbeat to all live peers at once."""
         self._send_to_live(None)
@@ -140,8 +151,11 @@
 
     def _send_pending(self) -> None:
         self._pending_send = None
-        changes = self._fleet.jobs.take_changes()
-        self._send_to_live(self._fleet.domains_to_update(changes))
+        domains = self._fleet.domains_to_update(self._fleet.jobs.take_changes())
+        if self._has_news:
+            domains = None
+            self._has_news = False
+        self._send_to_live(domains)
 
     def _send_to_live(self, domains: frozenset[str] | None) -> None:
         """Send a heartbeat to the live peers in these domains; None stands for all."""
@@ -218,6 +232,7 @@
             fleet.peers.sample_addresses(now, address_count) if address_count else (),
             wants_reply,
             capacity=fleet.settings.capacity,
+            quarantine=fleet.quarantine.news(now),
         )
 
 
--- a/packages/dandelionpond/src/dandelionpond/entry/process.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/process.py
@@ -74,6 +74,7 @@
         self._heartbeats = HeartbeatProtocol(self._fleet, self._sync.on_heartbeat)
         self._sync.on_update = self._heartbeats.send_now
         self._fleet.on_unresponsive = self._heartbeats.send_now
+        self._fleet.quarantine.on_news = self._heartbeats.schedule_news
         self._snapshots = SnapshotServer(
             settings.fetch_address, self._sync.current_snapshot, PeerSettings()
         )
@@ -208,7 +209,9 @@
         slices.add_counters("sync", lambda: self._sync.counters)
         slices.add_counters("groups", lambda: self._reservations.counters)
         slices.add_counters("peers", lambda: fleet.peers.counters)
+        slices.add_counters("quarantine", fleet.quarantine.read_counters)
         slices.add_size("requests", lambda: self._app.in_flight)
+        slices.add_size("quarantine", lambda: fleet.quarantine.size)
         slices.add_size("peers", lambda: len(fleet.peers.live_peers(fleet.now())))
 
 
--- a/packages/dandelionpond/src/dandelionpond/entry/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/prompts.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from dandelionpond.entry.attempts import (
+    RETRY_AFTER_S,
     AttemptLog,
     AttemptResult,
     Forwarder,
@@ -32,6 +33,9 @@
     client_timeout_s,
 )
 from dandelionpond.published.messages import EngineCostModel, UpstreamEntry
+from dandelionpond.quarantine.evidence import SETTLE_S, Suspect
+from dandelionpond.quarantine.messages import prompt_key
+from dandelionpond.quarantine.quarantine import Refused
 
 # Share of the client's timeout after which a silent stream is resumed on another
 # engine; the rest is left for the first event there. Repeating the prefill takes longer
@@ -51,6 +55,12 @@
 MAX_HOLD_SHARE = 0.5
 # Number of parts of a prompt that are logged if its engine crashed.
 MAX_LOGGED_PARTS = 16
+# Time in seconds after the first event of an answer for which a crash of its engine may
+# still be due to the beginning of this answer.
+BEGINNING_S = 0.25
+# Delay in seconds before a prompt is sent again that may have crashed its engine: the
+# reports of other nodes may show that it did.
+SUSPECT_RETRY_DELAY_S = SETTLE_S + 0.05
 
 
 class _PromptState:
@@ -58,13 +68,16 @@
 
     __slots__ = (
         "attempt_log",
+        "first_event_at",
         "first_event_s",
         "has_head",
+        "key",
         "longest_pause_s",
         "model",
         "progress",
         "reply",
         "request",
+        "sent_at",
         "splitter",
     )
 
@@ -81,8 +94,13 @@
         # Time from the last send to its first event, and longest time between events.
         self.first_event_s = 0.0
         self.longest_pause_s = 0.0
-        # Whether the last attempt received a response head.
+        # Whether the last attempt received a response head, and the times at which it
+        # was sent and received its first event.
         self.has_head = False
+        self.sent_at = 0.0
+        self.first_event_at: float | None = None
+        account = request.account.name if request.account else None
+        self.key = prompt_key(account, request.head.part_ids)
 
 
 class PromptForwarder:
@@ -102,10 +120,17 @@
         why = "gone"
         try:
             while True:
+                quarantined = self._check_quarantine(state)
+                if quarantined is not None:
+                    why = "a part is in quarantine"
+                    await self._refuse(
+                        state, ErrorKind.PROMPT_QUARANTINED, quarantined.retry_after_s
+                    )
+                    return
                 chosen = await self._place(state, frozenset(tried))
                 if chosen is None:
                     why = "no engine is free"
-                    await self._refuse(state)
+                    await self._refuse(state, ErrorKind.OVERLOADED)
                     return
                 placement, entries = chosen
                 main = entries[placement.main]
@@ -123,16 +148,24 @@
                 state.splitter.discard_partial()
         finally:
             forwarder.fleet.jobs.finish(request.local_id)
+            forwarder.fleet.quarantine.end_trial(request.local_id)
             forwarder.log_end(request, reply, state.attempt_log, why)
 
-    async def _refuse(self, state: _PromptState) -> None:
+    def _check_quarantine(self, state: _PromptState) -> Refused | None:
+        request = state.request
+        return self._forwarder.fleet.check_quarantine(state.key, request.local_id)
+
+    async def _refuse(
+        self, state: _PromptState, kind: ErrorKind, retry_after_s: float = RETRY_AFTER_S
+    ) -> None:
         if state.progress.has_response_started:
             self._forwarder.count("broken_off")
             return
-        kind = ErrorKind.OVERLOADED
         if state.progress.may_have_run:
             kind = ErrorKind.UPSTREAM_FAILED
-        await self._forwarder.refuse(state.request.head.request_id, state.reply, kind)
+        await self._forwarder.refuse(
+            state.request.head.request_id, state.reply, kind, retry_after_s
+        )
 
     async def _place(
         self, state: _PromptState, tried: frozenset[str]
@@ -167,6 +200,7 @@
         fleet, request = self._forwarder.fleet, state.request
         started_at = fleet.now()
         state.first_event_s = 0.0
+        state.first_event_at = None
         state.has_head = False
         fleet.jobs.start(request.local_id, _build_jobs(state, placement), started_at)
         state.attempt_log.predicted_s = placement.first_event_s
@@ -200,12 +234,31 @@
         has_crashed = await self._forwarder.client.refuses_connections(main.address)
         event = "upstream_crashed" if has_crashed else "upstream_connection_lost"
         self._forwarder.count(event)
+        if has_crashed:
+            await self._record_crash(state, main)
         log_entry.update(
             crashed=has_crashed,
             has_head=state.has_head,
             parts=list(state.request.head.part_ids[:MAX_LOGGED_PARTS]),
         )
 
+    async def _record_crash(self, state: _PromptState, main: UpstreamEntry) -> None:
+        """Report a crash, unless the prompt's answer had begun well before it."""
+        fleet = self._forwarder.fleet
+        now = fleet.now()
+        began_at = state.first_event_at
+        if began_at is not None and now - began_at > BEGINNING_S:
+            return
+        suspect = Suspect(
+            state.key.account, state.key.parts, state.sent_at, state.has_head
+        )
+        fleet.quarantine.record_crash(
+            state.key, main.instance, suspect, state.request.local_id, now
+        )
+        if state.has_head and state.key.parts:
+            await asyncio.sleep(SUSPECT_RETRY_DELAY_S)
+            fleet.quarantine.tick(fleet.now())
+
     async def _send(
         self,
         state: _PromptState,
@@ -308,6 +361,9 @@
                 placement.first_event_s,
             )
         helpers = self._build_helpers(placement, entries, group)
+        if self._check_quarantine(state) is not None:
+            return AttemptResult(NotSent("a part is in quarantine", False))
+        state.sent_at = started_at
         response = await forwarder.send(
             request,
             main,
@@ -440,7 +496,8 @@
                 is_late = pause_s > gap_target
             else:
                 has_first_event = True
-                state.first_event_s = fleet.now() - sent_at
+                state.first_event_at = fleet.now()
+                state.first_event_s = state.first_event_at - sent_at
                 ttft_s = fleet.now() - request.arrived_at
                 metrics.ttft.labels(length_label(request.head.prompt_tokens)).observe(
                     ttft_s
@@ -459,6 +516,7 @@
             progress_at = fleet.now()
         if state.splitter.is_partial:
             return BrokenResponse("ended in the middle of an event")
+        fleet.quarantine.record_answer(state.key, sent_at, fleet.now())
         await self._send_head(state, response)
         await reply.finish()
         return None
--- a/packages/dandelionpond/src/dandelionpond/errors.py
+++ b/packages/dandelionpond/src/dandelionpond/errors.py
@@ -44,6 +44,7 @@
     DEADLINE_AFTER_SEND = "deadline_after_send"
     NO_UPSTREAM = "no_upstream"
     INSUFFICIENT_MEMORY = "insufficient_memory"
+    PROMPT_QUARANTINED = "prompt_quarantined"
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_FAILED = "upstream_failed"
@@ -116,6 +117,7 @@
     ErrorKind.DEADLINE_AFTER_SEND: _may_have_run(504, _SERVER_ERROR),
     ErrorKind.NO_UPSTREAM: _not_run(503, _SERVER_ERROR, True),
     ErrorKind.INSUFFICIENT_MEMORY: _not_run(503, _SERVER_ERROR, True),
+    ErrorKind.PROMPT_QUARANTINED: _not_run(503, _SERVER_ERROR, True),
     ErrorKind.UPSTREAM_REFUSED: _not_run(503, _SERVER_ERROR, True),
     ErrorKind.UPSTREAM_UNREACHABLE: _not_run(502, _SERVER_ERROR, True),
     ErrorKind.UPSTREAM_FAILED: _may_have_run(502, _SERVER_ERROR),
--- a/packages/dandelionpond/src/dandelionpond/mesh/messages.py
+++ b/packages/dandelionpond/src/dandelionpond/mesh/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from dandelionpond.placement.jobs import Job, Phase
+from dandelionpond.quarantine.messages import QuarantineNews
 
 MS_PER_S = 1000
 # The value of a job is sent as a whole number of tenths.
@@ -37,7 +38,8 @@
     the sender considers live. `wants_reply` requests an immediate heartbeat in return.
     `needs_relay` asks the receiver to forward the heartbeat to the peers in its own
     failure domain; `address` remains the datagram address of the original sender.
-    `capacity` is the sender's capacity in percent of a reference VM.
+    `capacity` is the sender's capacity in percent of a reference VM. `quarantine` holds
+    what the sender knows of parts of prompts that crash engines.
     """
 
     node: str
@@ -57,6 +59,7 @@
     wants_reply: bool = False
     needs_relay: bool = False
     capacity: int = 100
+    quarantine: QuarantineNews | None = None
 
 
 _encoder = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/packages/dandelionpond/src/dandelionpond/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Find parts of prompts that crash engines, and refuse prompts that contain them."""
--- a/packages/dandelionpond/src/dandelionpond/tests/test_imports.py
+++ b/packages/dandelionpond/src/dandelionpond/tests/test_imports.py
@@ -22,6 +22,7 @@
     "placement",
     "forwarding",
     "mesh",
+    "quarantine",
 )
 SHARED_MODULES = ("errors.py", "hashing.py", "identity.py")
 PERMITTED_IMPORTS = {
--- a/packages/standins/src/dandelionpond_standins/reference_texts.py
+++ b/packages/standins/src/dandelionpond_standins/reference_texts.py
@@ -30,6 +30,7 @@
     "deadline_after_send": "the deadline passed after a byte may have been sent",
     "no_upstream": "no upstream for the model or service is usable",
     "insufficient_memory": "the engines have no memory for the prompt",
+    "prompt_quarantined": "a part of the prompt crashed engines; retry after its trial",
     "upstream_refused": "the upstream refused and did not run the request",
     "upstream_unreachable": "no connection to an upstream came about",
     "upstream_failed": "the upstream failed after a byte may have been sent",
