Don't take the end of a crashed upstream's answer for a complete one

Callers could get a stream without any event, or the first part of an answer, as a complete success.

Cause: the end of the connection was taken as the end of an answer that has neither a length nor chunks. When a process ends, the kernel closes its connections in the same way, so only a reset or half an event was noticed.

Change: after such an answer the node connects once more; if the upstream refuses, the answer counts as broken off and the request is repeated where that is permitted. A stream that ends before its first event is broken off too.

Evidence: three of six cases of TestAnswersWithoutLength failed before (two of six events, none, and two of six of a plain call, all with status 200 and complete) and pass.

--- a/packages/dandelionpond/src/dandelionpond/entry/attempts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/attempts.py
@@ -181,6 +181,19 @@
             Errored(head.status), FailureResponse(head.status, headers, body)
         )
 
+    async def check_end(
+        self, upstream: UpstreamEntry, response: UpstreamResponse
+    ) -> BrokenResponse | None:
+        """Return an outcome if the body may have ended because the upstream crashed.
+
+        The end of a connection looks the same after a complete body without a length.
+        """
+        if response.has_length:
+            return None
+        if await self.client.refuses_connections(upstream.address):
+            return BrokenResponse("upstream ended with a body without a length")
+        return None
+
     def report_outcome(self, upstream: UpstreamEntry, outcome: Outcome) -> None:
         """Record a failed attempt in the health data of the upstream at fault."""
         match outcome:
--- a/packages/dandelionpond/src/dandelionpond/entry/calls.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/calls.py
@@ -147,6 +147,9 @@
                 return AttemptResult(error.outcome)
             except TimeoutError:
                 return AttemptResult(SilentUpstream(timeout_s))
+            broken = await forwarder.check_end(upstream, response)
+            if broken is not None:
+                return AttemptResult(broken)
             headers = forwarder.header_translator.forwarded_headers(response.headers)
             await reply.send(head.status, headers, body)
             return AttemptResult(None)
--- a/packages/dandelionpond/src/dandelionpond/entry/prompts.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/prompts.py
@@ -516,6 +516,11 @@
             progress_at = fleet.now()
         if state.splitter.is_partial:
             return BrokenResponse("ended in the middle of an event")
+        if not has_first_event and state.splitter.last_event_id is None:
+            return BrokenResponse("ended before the first event")
+        broken = await self._forwarder.check_end(main, response)
+        if broken is not None:
+            return broken
         fleet.quarantine.record_answer(state.key, sent_at, fleet.now())
         await self._send_head(state, response)
         await reply.finish()
--- a/packages/dandelionpond/src/dandelionpond/entry/upstream_client.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/upstream_client.py
@@ -161,6 +161,12 @@
         self.status = response.status
         self.headers: Headers = response.raw_headers
 
+    @property
+    def has_length(self) -> bool:
+        """Return whether the end of the body is marked by a length or by chunks."""
+        headers = self._response.headers
+        return "Content-Length" in headers or "Transfer-Encoding" in headers
+
     async def read(self) -> bytes:
         """Return the next bytes of the body, or an empty string at its end.
 
--- a/tests/platform_adapter/test_crashing_prompts.py
+++ b/tests/platform_adapter/test_crashing_prompts.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import pytest
+from platform_stubs import StubWorker
 from test_deployment_faults import FlappingWorker
 from test_node import run_on_cluster
+from test_similar_systems import EVENTS
 
 CRASHING_PART = "deadbeef"
 SHARED_PART = "5c1e07a2"
@@ -114,3 +117,86 @@
             assert statuses[MAX_LATER_ARRIVALS:] == [503] * (8 - MAX_LATER_ARRIVALS)
 
         run_on_cluster(scenario, *workers)
+
+
+class UnframedWorker(StubWorker):
+    """A worker whose answers have neither a length nor chunks.
+
+    `ending` is how the first answer of all workers ends. With "exit" the process ends
+    after two events and does not listen again.
+    """
+
+    def __init__(self, instance, service, shared, ending):
+        super().__init__(instance, service)
+        self._shared = shared
+        self._ending = ending
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        fields = dict(
+            line.split(b": ", 1) for line in head.split(b"\r\n")[1:] if b": " in line
+        )
+        fields = {name.lower(): value for name, value in fields.items()}
+        await reader.readexactly(int(fields.get(b"content-length", b"0")))
+        self.requests.append(head)
+        is_first = not self._shared
+        self._shared.append(self.instance)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nDandelionpond-Server-Stamp: s\r\n"
+            b"Dandelionpond-Attempt-Id: %s\r\n\r\n"
+            % fields[b"dandelionpond-attempt-id"]
+        )
+        first = int(fields.get(b"last-event-id", b"0")) + 1
+        pieces = [b"id: %d\ndata: x\n\n" % number for number in range(first, 7)]
+        if is_first and "exit" in self._ending:
+            pieces = pieces[:2]
+        if is_first and "nothing" in self._ending:
+            pieces = []
+        if is_first and "inside" in self._ending:
+            pieces[-1] = pieces[-1][:5]
+        writer.write(b"".join(pieces))
+        if is_first and "exit" in self._ending:
+            self._server.close()
+        await writer.drain()
+        writer.close()
+
+
+class TestAnswersWithoutLength:
+    """Answers that end with their connection."""
+
+    @pytest.mark.parametrize(
+        "ending", ["complete", "exit", "exit inside an event", "nothing"]
+    )
+    def test_stream_that_was_broken_off_is_completed(self, ending):
+        """Guard against taking the end of a crashed engine's stream as complete."""
+        shared = []
+        workers = [UnframedWorker(name, "llm", shared, ending) for name in ("e1", "e2")]
+
+        async def scenario(cluster):
+            status, _, body = await cluster.fetch(
+                "/chat/", Dandelionpond_Token_Count="100,100"
+            )
+            assert (status, body) == (200, EVENTS)
+            assert len(shared) == (1 if ending == "complete" else 2)
+
+        run_on_cluster(scenario, *workers)
+
+    @pytest.mark.parametrize("ending", ["complete", "exit"])
+    def test_call_that_was_broken_off_is_repeated(self, ending):
+        """Guard against passing on the first part of a crashed worker's answer."""
+        shared = []
+        workers = [UnframedWorker(name, "app", shared, ending) for name in ("w1", "w2")]
+
+        async def scenario(cluster):
+            status, _, body = await cluster.fetch("/call/")
+            assert (status, body) == (200, EVENTS)
+            assert len(shared) == (1 if ending == "complete" else 2)
+
+        run_on_cluster(scenario, *workers)
