Keep a released part out of quarantine at all nodes, and bound the evaluation

A part whose trial had succeeded was refused again by all nodes but the one of the trial: their evidence still held the crashes, and they knew of no answer after them. A release now counts as such an answer. Before, 19 of 20 nodes refused it in test_answered_trial_releases_the_part_at_all_nodes.

--- a/packages/dandelionpond/src/dandelionpond/quarantine/evidence.py
+++ b/packages/dandelionpond/src/dandelionpond/quarantine/evidence.py
@@ -1,6 +1,6 @@
 """Infer from crashes of engines which part of the prompts causes them."""
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -20,7 +20,7 @@
 # Time in seconds for which crashes are remembered.
 MEMORY_S = 600.0
 MAX_CRASHES = 64
-MAX_SUSPECTS = 16
+MAX_SUSPECTS = 12
 MAX_WORKING_PARTS = 2_048
 
 
@@ -113,10 +113,12 @@
     Times are this node's monotonic seconds.
     """
 
-    __slots__ = ("_crashes", "_working", "counters")
+    __slots__ = ("_crashes", "_working", "changed_at", "counters")
 
     def __init__(self) -> None:
         self._crashes: list[Crash] = []
+        # Time of the latest crash of which a new report was recorded.
+        self.changed_at = float("-inf")
         self._working: OrderedDict[int, _Working] = OrderedDict()
         self.counters = {"crashes": 0, "crashes_at_bound": 0, "suspects": 0}
 
@@ -144,6 +146,8 @@
             self.counters["crashes"] += 1
         is_new = crash.add(suspect)
         self.counters["suspects"] += is_new
+        if is_new:
+            self.changed_at = max(self.changed_at, at)
         return is_new
 
     def add_working(
@@ -201,7 +205,7 @@
         while True:
             candidates = [
                 candidate
-                for candidate in self._candidates(crashes)
+                for candidate in self._candidates(crashes, is_quarantined)
                 if self._is_harmful(candidate, now, is_quarantined(candidate.part))
             ]
             if not candidates:
@@ -228,11 +232,26 @@
                 if not any(best.part in suspect.parts for suspect in crash.suspects)
             ]
 
-    def _candidates(self, crashes: Iterable[Crash]) -> list[_Candidate]:
+    def _candidates(
+        self, crashes: Iterable[Crash], is_quarantined: Callable[[int], bool]
+    ) -> list[_Candidate]:
+        """Return the parts that are in enough of the crashes and did not work since."""
+        counts: Counter[int] = Counter()
+        for crash in crashes:
+            counts.update({part for item in crash.suspects for part in item.parts})
+        frequent = {
+            part
+            for part, count in counts.items()
+            if count >= MIN_CRASHES or is_quarantined(part)
+        }
+        if not frequent:
+            return []
         candidates: dict[int, _Candidate] = {}
         for crash in crashes:
             for suspect in crash.suspects:
                 for position, part in enumerate(suspect.parts):
+                    if part not in frequent:
+                        continue
                     working = self._working.get(part)
                     if working is not None and crash.at <= working.sent_at:
                         continue
--- a/packages/dandelionpond/src/dandelionpond/quarantine/quarantine.py
+++ b/packages/dandelionpond/src/dandelionpond/quarantine/quarantine.py
@@ -6,7 +6,7 @@
 import msgspec
 import xxhash
 
-from dandelionpond.quarantine.evidence import CrashEvidence, Suspect
+from dandelionpond.quarantine.evidence import CONFIRM_S, CrashEvidence, Suspect
 from dandelionpond.quarantine.messages import (
     MS_PER_S,
     CrashReport,
@@ -19,6 +19,8 @@
 # Time in seconds for which a node repeats its reports, because datagrams may be lost.
 REPORT_S = 10.0
 MAX_REPORTS = 8
+# Time in seconds after a new report for which the evidence is evaluated.
+EVALUATION_S = CONFIRM_S + 2.0
 MAX_WORKING_IN_NEWS = 16
 # Time in seconds for which one node may try a part before another one may.
 TRIAL_TURN_S = 5.0
@@ -144,10 +146,14 @@
         for part, sent_at in worked:
             self._evidence.add_working((part,), sent_at, is_own=False)
         for received in news.entries:
-            if self._table.merge(received, now):
-                entry = self._table.get(received.part)
-                if entry is not None:
-                    self._report_change("part put in quarantine", entry)
+            if not self._table.merge(received, now):
+                continue
+            entry = self._table.get(received.part)
+            if entry is not None:
+                self._report_change("part put in quarantine", entry)
+            elif received.is_released:
+                # The crashes before the release must not count again.
+                self._evidence.add_working((received.part,), now, is_own=False)
         self._release_working(worked, now)
 
     def news(self, now: float) -> QuarantineNews | None:
@@ -172,6 +178,8 @@
         """Put parts in quarantine that the evidence has shown to be harmful."""
         self._evidence.forget(now)
         self._table.forget(now)
+        if now - self._evidence.changed_at > EVALUATION_S:
+            return
         harmful_parts = self._evidence.find_harmful(
             now, self._is_covered, lambda part: self._table.get(part) is not None
         )
--- a/packages/dandelionpond/src/dandelionpond/quarantine/tests/test_quarantine.py
+++ b/packages/dandelionpond/src/dandelionpond/quarantine/tests/test_quarantine.py
@@ -209,6 +209,9 @@
         nodes.tick(TRIAL_AFTER_S)
         nodes.answer(self.start_trial(nodes), KEY)
         nodes.exchange()
+        for _ in range(5):
+            nodes.tick(0.3)
+            nodes.exchange()
         assert nodes.refused_by() == [False] * 20
 
     def test_trial_that_crashes_an_engine_doubles_the_time(self):
