Send prompts that crash engines in the soak

Clients keep sending such prompts through kills, pauses, stops and cut paths. At the end at most three may reach engines after the nodes had time to recognize the part, and sound prompts with the same first part are answered.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -39,6 +39,11 @@
 # It limits the run and is no requirement on the product, so it is long enough for a
 # busy machine.
 RECOVERY_TIMEOUT_S = 60.0
+# Prompts that crash engines, sent to each node at the end of a run, before and after
+# the time in seconds that nodes have to recognize them, and how many may crash then.
+CRASHING_ROUNDS = 3
+QUARANTINE_SETTLE_S = 3.0
+MAX_LATE_CRASHES = 3
 # Replacements of source text (file, old, new), each of which violates one guarantee.
 MUTATIONS = {
     "second send": (
@@ -48,6 +53,9 @@
             "return True",
         ),
     ),
+    "no quarantine": (
+        ("quarantine/evidence.py", "MIN_CRASHES = 3", "MIN_CRASHES = 1_000"),
+    ),
     "dropped event": (
         (
             "forwarding/events.py",
@@ -113,6 +121,7 @@
             await wait_until(lambda: _are_upstreams_idle(cluster))
         except TimeoutError:
             violations.append(f"cancel: {+cluster.executions.running} still run")
+        violations += await _find_crashing_prompts(clients, cluster)
         violations += _find_final_violations(clients, cluster)
         return {
             "seed": seed,
@@ -137,6 +146,27 @@
     return not +cluster.executions.running
 
 
+async def _find_crashing_prompts(clients, cluster):
+    """Return a violation if prompts that crash engines still reach them.
+
+    Sound prompts with the same first part must be served beside them.
+    """
+    for _ in range(CRASHING_ROUNDS):
+        for node in cluster.nodes:
+            await clients.is_served(node, "crash")
+    await asyncio.sleep(QUARANTINE_SETTLE_S)
+    crashes_before, lost = cluster.executions.crashes, []
+    for _ in range(CRASHING_ROUNDS):
+        for node in cluster.nodes:
+            await clients.is_served(node, "crash")
+            if not await clients.is_served(node, "chat"):
+                lost.append(f"lost: a sound prompt at {node.name}")
+    crashes = cluster.executions.crashes - crashes_before
+    if crashes > MAX_LATE_CRASHES:
+        lost.append(f"crash: {crashes} prompts crashed engines that were known to")
+    return lost
+
+
 def _find_final_violations(clients, cluster):
     """Return the violations that can be determined only after the whole run."""
     counts = cluster.executions.counts
--- a/tests/soak/soak_clients.py
+++ b/tests/soak/soak_clients.py
@@ -7,12 +7,17 @@
 from soak_cluster import RETAINED_VERSIONS
 from soak_upstreams import (
     ATTEMPT_ID_HEADER,
+    CRASHING_PART,
+    PARTS_HEADER,
+    SHARED_PART,
     STAMP_HEADER,
     response_body,
     stream_events,
 )
 
 REQUEST_KINDS = ("call", "pay", "chat")
+# Share of requests that contain a part of a prompt that crashes engines.
+CRASHING_SHARE = 0.02
 # Deadline in milliseconds that each request states, and the timeout in seconds after
 # which a client cancels it.
 DEADLINE_MS = 3_500
@@ -55,14 +60,17 @@
                     if sends_probes and self._random.random() < 0.5:
                         await self._probe_version(session, node)
                     else:
-                        await self.send_and_check(
-                            session, node, self._random.choice(REQUEST_KINDS)
-                        )
+                        await self.send_and_check(session, node, self._draw_kind())
                 except (aiohttp.ClientError, OSError, TimeoutError) as error:
                     self.outcomes[f"no answer: {type(error).__name__}"] += 1
                     await asyncio.sleep(0.1)
                 await asyncio.sleep(REQUEST_INTERVAL_S)
 
+    def _draw_kind(self):
+        if self._random.random() < CRASHING_SHARE:
+            return "crash"
+        return self._random.choice(REQUEST_KINDS)
+
     async def is_served(self, node, kind):
         """Return whether a request of this kind, never cancelled early, gets a 200."""
         attempt_id = self.next_attempt_id()
@@ -105,7 +113,12 @@
 
     def request(self, session, node, path, attempt_id):
         """Return a context manager that sends a request and yields the response."""
+        parts = [SHARED_PART, attempt_id]
+        if path.startswith("/crash/"):
+            path = "/chat/x"
+            parts.insert(1, CRASHING_PART)
         headers = {
+            PARTS_HEADER: ",".join(f"{part}:10" for part in parts),
             "Host": "a.example",
             ATTEMPT_ID_HEADER: attempt_id,
             "Dandelionpond-Deadline-Ms": str(DEADLINE_MS),
@@ -123,6 +136,9 @@
             )
         if response.status != 200:
             return
+        if kind == "crash":
+            self._add_violation("crash", f"{attempt_id}: 200 from a crashed engine")
+            return
         if (
             response.headers.get(STAMP_HEADER)
             not in self._cluster.executions.upstreams[attempt_id]
--- a/tests/soak/soak_cluster.py
+++ b/tests/soak/soak_cluster.py
@@ -25,6 +25,8 @@
 ROUTE_TIMEOUT_MS = 4_000
 # Time in seconds that a node has to stop after SIGTERM.
 SHUTDOWN_GRACE_S = 8
+# Time in seconds for which a crashed upstream refuses connections.
+RESTART_S = 0.5
 DROP_ALL = Rule(drop="both")
 NO_FAULT = Rule()
 
@@ -137,6 +139,7 @@
         self.store = StubStore()
         self.version = 0
         self.published_at = {}
+        self._restarts = set()
         self._folder = folder
         self._source = source
         # Each run uses its own loopback network, so that concurrent runs do not use
@@ -150,7 +153,9 @@
         self.upstreams, self.upstream_relays = [], {}
         for service, count in UPSTREAMS:
             for index in range(count):
-                upstream = Upstream(f"{service}-{index}", service, self.executions)
+                upstream = Upstream(
+                    f"{service}-{index}", service, self.executions, self._crash
+                )
                 await upstream.start()
                 relay = Relay(tuple(upstream.address))
                 await relay.start()
@@ -186,6 +191,17 @@
             await upstream.stop()
         await self.store.stop()
 
+    async def _crash(self, instance):
+        """Let an upstream look as if its process had crashed and then started again."""
+        relay = self.upstream_relays[instance]
+        await relay.apply(Rule(refuse=True))
+        relay.reset()
+        restart = asyncio.create_task(asyncio.sleep(RESTART_S))
+        restart.add_done_callback(
+            lambda _: self._restarts.add(asyncio.create_task(relay.apply(NO_FAULT)))
+        )
+        self._restarts.add(restart)
+
     def publish_document(self):
         """Write the next version of the routing document to the store."""
         self.version += 1
--- a/tests/soak/soak_upstreams.py
+++ b/tests/soak/soak_upstreams.py
@@ -7,11 +7,16 @@
 from aiohttp import web
 
 ATTEMPT_ID_HEADER = "Dandelionpond-Attempt-Id"
+PARTS_HEADER = "Dandelionpond-Prompt-Prefix"
 STAMP_HEADER = "Dandelionpond-Server-Stamp"
 NOT_EXECUTED_HEADER = "Dandelionpond-Not-Executed"
 # Time in seconds between two events of a stream, and before a response of a service
 # that does not stream.
 EVENT_INTERVAL_S = 0.02
+# A part of prompts on which each engine crashes when it begins an answer, and a part of
+# all prompts.
+CRASHING_PART = "dead"
+SHARED_PART = "5afe"
 # Delay in seconds that the fault `slow` adds to a request.
 SLOW_DELAY_S = 6.0
 
@@ -32,7 +37,8 @@
 
     `counts` counts the executions of each attempt, `upstreams` holds the upstreams that
     executed it, `running` counts its executions in progress. `fault_counts` counts the
-    requests that each kind of fault affected.
+    requests that each kind of fault affected, and `crashes` those that crashed an
+    upstream.
     """
 
     def __init__(self):
@@ -40,16 +46,21 @@
         self.upstreams = defaultdict(set)
         self.running = Counter()
         self.fault_counts = Counter()
+        self.crashes = 0
 
 
 class Upstream:
-    """A server of one service; `fault` is applied to the requests that arrive."""
+    """A server of one service; `fault` is applied to the requests that arrive.
 
-    def __init__(self, instance, service, executions):
+    `crash` ends all its connections and refuses new ones for some time.
+    """
+
+    def __init__(self, instance, service, executions, crash):
         self.instance = instance
         self.service = service
         self.fault = "none"
         self._executions = executions
+        self._crash = crash
 
     async def start(self):
         """Listen on a free port."""
@@ -106,6 +117,11 @@
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
+        if f"{CRASHING_PART}:" in request.headers.get(PARTS_HEADER, ""):
+            self._executions.crashes += 1
+            await asyncio.sleep(EVENT_INTERVAL_S)
+            await self._crash(self.instance)
+            return response
         first = int(request.headers.get("Last-Event-Id", 0))
         for number, data in enumerate(stream_events(attempt_id)):
             if number < first:
