--- a/packages/dandelionpond/src/dandelionpond/quarantine/quarantine.py
+++ b/packages/dandelionpond/src/dandelionpond/quarantine/quarantine.py
@@ -96,7 +96,7 @@
         entry.trial_request = request_id
         entry.trial_started_at = now
         self.counters["trials"] += 1
-        self._report_change("part in quarantine tried", entry)
+        self._report_change("quarantined part is tried", entry)
         return None
 
     def record_crash(
