--- a/packages/standins/src/dandelionpond_standins/engine.py
+++ b/packages/standins/src/dandelionpond_standins/engine.py
@@ -115,6 +115,8 @@
         body = decode_body(await request.body(), GenerateRequest)
         if isinstance(body, Response):
             return body
+        if self.faults.crash_text and self.faults.crash_text in body.prompt:
+            os._exit(1)
         version = self._orders.ready_version(body.model, self.now)
         if self._serves_any_model:
             version = body.version or "v1"
--- a/packages/standins/src/dandelionpond_standins/engine_faults.py
+++ b/packages/standins/src/dandelionpond_standins/engine_faults.py
@@ -36,7 +36,8 @@
     once with status 500. `load_factor` multiplies the reported load. `lose_cancels` is
     the number of cancels that are dropped by resetting their connections. The process
     exits after `die_after_tokens` sent tokens; -1 means never. `leaving` refuses new
-    requests and is stated in the load report.
+    requests and is stated in the load report. The process exits when it gets a prompt
+    that contains `crash_text`, if that is not empty.
     """
 
     stream: StreamFault | None = None
@@ -46,6 +47,7 @@
     lose_cancels: int = 0
     die_after_tokens: int = -1
     leaving: bool = False
+    crash_text: str = ""
 
     def take_stream_fault(self) -> StreamFault | None:
         """Return the fault of a new stream, if any, and count the stream."""
--- a/packages/standins/src/dandelionpond_standins/stack_harness.py
+++ b/packages/standins/src/dandelionpond_standins/stack_harness.py
@@ -139,9 +139,13 @@
             await self.stack.control(child, "slow_factor", factor)
 
     async def restart_engine(self, name: str) -> None:
-        """Kill an engine and start it again on its port, with empty memory."""
+        """Kill an engine and start it again on its port, with empty memory.
+
+        An engine that has exited by itself is only started.
+        """
         previous = self.stack.engines[name]
-        previous.process.kill()
+        if previous.process.returncode is None:
+            previous.process.kill()
         await previous.process.wait()
         upstream = self.stack.settings.upstreams[name]
         assert isinstance(upstream, EngineUpstream)
