Wait at most 0.15 s for the refusal that tells a crashed engine

A retry after a broken connection waited for the whole connection timeout (0.35 s) if the path to the engine was cut as well. A refusal takes one round trip. Found by reading the change; the test checks that a host that does not respond is not taken for crashed.

--- a/packages/dandelionpond/src/dandelionpond/entry/tests/test_upstream_client.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/tests/test_upstream_client.py
@@ -164,6 +164,31 @@
 
         assert asyncio.run(run()) == (True, False)
 
+    def test_refusal_tells_a_crashed_upstream_from_one_that_is_cut_off(self):
+        """An upstream that does not respond may run on, and a retry must not wait."""
+
+        async def run():
+            client = UpstreamClient(CONNECT_TIMEOUT_S)
+            async with Upstream(response_bytes()) as upstream:
+                address = upstream.address
+                listens = await client.refuses_connections(address)
+            crashed = await client.refuses_connections(address)
+            # A full queue of connections drops further ones without an answer.
+            with socket.socket() as full:
+                full.bind(("127.0.0.1", 0))
+                full.listen(0)
+                silent = f"127.0.0.1:{full.getsockname()[1]}"
+                with socket.create_connection(full.getsockname()):
+                    started_at = asyncio.get_running_loop().time()
+                    cut_off = await client.refuses_connections(silent)
+                    waited_s = asyncio.get_running_loop().time() - started_at
+            await client.close()
+            return (listens, crashed, cut_off), waited_s
+
+        refusals, waited_s = asyncio.run(run())
+        assert refusals == (False, True, False)
+        assert waited_s < CONNECT_TIMEOUT_S / 2
+
     def test_response_before_the_body_is_read(self):
         """A response that arrives while the body is being sent must not be lost."""
 
--- a/packages/dandelionpond/src/dandelionpond/entry/upstream_client.py
+++ b/packages/dandelionpond/src/dandelionpond/entry/upstream_client.py
@@ -21,6 +21,9 @@
 # Timeout in seconds for opening a connection. Round trips take milliseconds; the rest
 # allows for a busy processor.
 CONNECT_TIMEOUT_S = 0.35
+# Timeout in seconds for the refusal of a connection, which takes one round trip. The
+# next attempt of a request waits for it.
+REFUSAL_TIMEOUT_S = 0.15
 # TCP keepalive: idle seconds before the first probe, seconds between probes, and
 # unanswered probes after which the kernel resets the connection. This detects hosts
 # that lost power.
@@ -277,7 +280,7 @@
         """
         host, _, port = address.rpartition(":")
         try:
-            async with asyncio.timeout(self._connect_timeout_s):
+            async with asyncio.timeout(REFUSAL_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(host, int(port))
         except ConnectionError:
             return True
