--- a/tests/soak/soak_cluster.py
+++ b/tests/soak/soak_cluster.py
@@ -196,11 +196,16 @@
         relay = self.upstream_relays[instance]
         await relay.apply(Rule(refuse=True))
         relay.reset()
-        restart = asyncio.create_task(asyncio.sleep(RESTART_S))
-        restart.add_done_callback(
-            lambda _: self._restarts.add(asyncio.create_task(relay.apply(NO_FAULT)))
-        )
-        self._restarts.add(restart)
+        self._restarts.add(asyncio.create_task(self._restart(relay)))
+
+    async def _restart(self, relay):
+        await asyncio.sleep(RESTART_S)
+        while True:
+            try:
+                return await relay.apply(NO_FAULT)
+            except OSError:
+                # A connection of another process uses the port as its local one.
+                await asyncio.sleep(0.1)
 
     def publish_document(self):
         """Write the next version of the routing document to the store."""
