Name the choice among parts, and keep room for prompts that had begun

Twelve prompts that still waited could fill a crash's list before the report of the one whose answer had begun came; the new test fails without the change in Crash.add.

--- a/packages/dandelionpond/src/dandelionpond/quarantine/evidence.py
+++ b/packages/dandelionpond/src/dandelionpond/quarantine/evidence.py
@@ -56,11 +56,21 @@
             == (suspect.account, suspect.parts, suspect.had_begun)
             for known in self._suspects
         )
-        if is_known or len(self._suspects) >= MAX_SUSPECTS:
+        if is_known:
+            return False
+        if len(self._suspects) >= MAX_SUSPECTS and not self._drop_waiting(suspect):
             return False
         self._suspects.append(suspect)
         return True
 
+    def _drop_waiting(self, suspect: Suspect) -> bool:
+        """Make room for a prompt whose answer had begun, if another one's had not."""
+        waiting = [known for known in self._suspects if not known.had_begun]
+        if not suspect.had_begun or not waiting:
+            return False
+        self._suspects.remove(waiting[0])
+        return True
+
 
 class HarmfulPart(msgspec.Struct, frozen=True):
     """A part that explains crashes, the account that sent it, and the last crash."""
@@ -89,6 +99,11 @@
     # Pairs of the time of a crash and of the sending of its prompt.
     times: list[tuple[float, float]] = msgspec.field(default_factory=list)
 
+    @property
+    def account(self) -> int:
+        """Return the only account whose prompts had the part, or `ALL_ACCOUNTS`."""
+        return next(iter(self.accounts)) if len(self.accounts) == 1 else ALL_ACCOUNTS
+
     @property
     def crashed_at(self) -> float:
         """Return the time of the last crash."""
@@ -210,21 +225,9 @@
             ]
             if not candidates:
                 return harmful
-            # Other prompts may share the first parts, so later ones are more specific.
-            best = max(
-                candidates,
-                key=lambda candidate: (
-                    candidate.part not in self._working,
-                    candidate.position,
-                    len(candidate.times),
-                    candidate.part,
-                ),
-            )
-            account = (
-                best.accounts.copy().pop() if len(best.accounts) == 1 else ALL_ACCOUNTS
-            )
-            if is_quarantined(best.part):
-                account = ALL_ACCOUNTS
+            best = max(candidates, key=self._rank)
+            is_extended = is_quarantined(best.part)
+            account = ALL_ACCOUNTS if is_extended else best.account
             harmful.append(HarmfulPart(best.part, account, best.crashed_at))
             crashes = [
                 crash
@@ -232,6 +235,15 @@
                 if not any(best.part in suspect.parts for suspect in crash.suspects)
             ]
 
+    def _rank(self, candidate: _Candidate) -> tuple[bool, int, int, int]:
+        """Return how likely a part is the cause, compared with other candidates.
+
+        Other prompts may share the first parts, so later ones are more specific.
+        """
+        is_unknown = candidate.part not in self._working
+        crashes = len(candidate.times)
+        return is_unknown, candidate.position, crashes, candidate.part
+
     def _candidates(
         self, crashes: Iterable[Crash], is_quarantined: Callable[[int], bool]
     ) -> list[_Candidate]:
--- a/packages/dandelionpond/src/dandelionpond/quarantine/tests/test_evidence.py
+++ b/packages/dandelionpond/src/dandelionpond/quarantine/tests/test_evidence.py
@@ -104,6 +104,16 @@
             evidence.add_crash(f"e{number}", at, waiting)
         assert [item.part for item in find(evidence, 60.0)] == [HARMFUL]
 
+    def test_prompts_that_wait_do_not_crowd_out_the_one_that_had_begun(self):
+        evidence = CrashEvidence()
+        for number in range(MIN_CRASHES):
+            at = 1.0 + number
+            for other in range(2 * MAX_SUSPECTS):
+                waiting = Suspect(ACCOUNT, (100 + other,), at - 0.1, False)
+                evidence.add_crash(f"e{number}", at, waiting)
+            crash(evidence, number, at, (SHARED, HARMFUL))
+        assert [item.part for item in find(evidence, 60.0)] == [HARMFUL]
+
     def test_crashes_that_are_explained_do_not_count(self):
         evidence = CrashEvidence()
         for number in range(5):
