--- a/review/standins.py
+++ b/review/standins.py
@@ -246,6 +246,8 @@
                 if writer.is_closing():
                     return
                 await writer.drain()
+                if headers.get("connection", "").lower() == "close":
+                    return
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
@@ -285,7 +287,8 @@
         "TargetLatencyMs": 300,
         "Priority": 1,
         "MaxAttempts": 2,
-        "Service": service,
+        "Public": False,
+        **({"Service": service} if service else {}),
         **fields,
     }
 
