--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,6 @@
-"""Many clients send long requests at once; the node's memory passes its limit."""
+"""A machine is cut off from the store; a worker leaves soon after the cut has healed."""
 
 import asyncio
-import signal
 import sys
 import time
 from collections import Counter
@@ -17,159 +16,160 @@
     read_body,
     read_head,
     request_bytes,
+    reset,
     route,
     run_case,
 )
 
-MEMORY_LIMIT_BYTES = 222 * 1024 * 1024
-# MaxBodyBytes is 4 MiB. A client sends 300 kB/s, so a long request takes 13.3 s. In the
-# burst 10 of them begin in a second: 320 Mbit/s of the 350 Mbit/s of the machine's link.
-BODY_BYTES = 4_000_000
-CLIENT_BYTES_PER_S = 300_000
-PIECE_BYTES = 25_000
-UPLOADS_PER_S = 3.7
-# burst: at most 2.7 times the traffic of a kind of request, for 9.5 s.
-BURST_FROM_S, BURST_FOR_S, BURST_X = 10.0, 9.5, 2.7
-LENGTH_S = 28.0
-KEPT_CHANNELS = 48
-
-
-def anonymous_bytes(pid):
-    """Return the anonymous memory of a process (without files and shared memory)."""
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("RssAnon:"):
-            return int(line.split()[1]) * 1024
-    return 0
+# core_cut, how refuse: one machine is cut off from the store for 5.5 s, here six times.
+NODES = 1
+CUT_S = 5.5
+CYCLES = 6
+# Time from the end of a cut to the removal of the entry of a worker that leaves.
+LEAVE_AFTER_S = 0.3
+DRAIN_S = 2.0
+STABLE_S = 3.0
+# How long a worker that has left goes on serving: DrainMs and a little longer.
+SERVES_ON_S = 5.0
+REQUESTS_PER_S = 40
+
+
+class StorePath:
+    """The path from a machine to the store. During a cut it refuses channels."""
+
+    def __init__(self, ip, store):
+        self.ip, self._store = ip, store
+        self.is_cut = False
+        self._writers = set()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, self.ip, 0)
+        self.address = f"{self.ip}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, reader, writer):
+        if self.is_cut:
+            reset(writer)
+            return
+        host, port = self._store.address.split(":")
+        store_reader, store_writer = await asyncio.open_connection(host, int(port))
+        await asyncio.gather(
+            self._pass(reader, store_writer), self._pass(store_reader, writer)
+        )
+
+    async def _pass(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                if self.is_cut:
+                    return
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
 
 
 async def main(record, has_trouble, folder, nodes):
     net = pick_loopback()
     store = Store(f"{net}.0.1")
     await store.start()
-    runs = set()
+    path = StorePath(f"{net}.0.2", store)
+    await path.start()
+    gone_at = {}
+    in_touch_from = 0.0
+    broken = []
 
     async def run(worker, request, writer):
-        is_payment = request["target"].startswith("/pay/")
-        runs.add(request["id"])
-        if not is_payment:
-            record.add(f"runs {request['id']} at {worker.name}, {len(request['body'])} B")
-        await asyncio.sleep(0.09)
+        now = record.now()
+        left = gone_at.get(worker.name)
+        if left is not None:
+            text = f"{request['id']} reaches {worker.name} {now - left:.2f} s after it left"
+            record.add(text)
+            if now - left > DRAIN_S and now > in_touch_from:
+                broken.append(request["id"])
+                record.add(
+                    f"DRAIN: {text}, {now - in_touch_from:.2f} s after the machine is "
+                    "in touch"
+                )
+        await asyncio.sleep(0.0225)
         body = b"done"
         head = worker.head(request, extra=f"Content-Length: {len(body)}\r\n\r\n")
         writer.write(head.encode() + body)
 
-    workers = [
-        Worker(f"i-desk-{n}", "order-desk", f"{net}.1.{n}", run) for n in range(1, 4)
-    ]
-    for worker in workers:
+    async def add_worker(number):
+        worker = Worker(f"i-duka-{number}", "duka-app", f"{net}.1.{number}", run)
         await worker.start()
         store.put(f"servers/{worker.name}", worker.entry())
+        return worker
+
+    workers = [await add_worker(number) for number in (1, 2, 3)]
     routes = [
-        route("pay-post", "/pay/", "non_idempotent", "order-desk", MaxAttempts=1),
-        route("bundle", "/bundle/", "idempotent", "order-desk", TimeoutMs=15000),
+        route("pay-post", "/pay/", "non_idempotent", "duka-app", MaxAttempts=1),
     ]
-    services = [{"Name": "order-desk", "MaxConnections": 244}]
+    services = [{"Name": "duka-app", "MaxConnections": 214}]
     store.put("op/config", config(7, routes, services))
-    ip = f"{net}.2.1"
-    node = Node("front-dar-a-1", ip, folder, store, [f"{ip}:1"])
-    nodes.append(node)
-    node.start()
-    await node.wait_ready()
+    ips = [f"{net}.2.{n}" for n in range(1, NODES + 1)]
+    seeds = []
+    for n, ip in enumerate(ips, 1):
+        node = Node(f"front-dar-a-{n}", ip, folder, path, seeds or [f"{ip}:1"])
+        seeds.append(f"{ip}:{node.control}")
+        nodes.append(node)
+        node.start()
+    for node in nodes:
+        await node.wait_ready()
     ends = Counter()
-    lost = []
-    peak = 0
-    started = time.monotonic()
-
-    def is_over():
-        return time.monotonic() - started > LENGTH_S
+    sent = 0
 
-    async def upload(number):
-        attempt = f"b{number:015x}"
+    async def send(number):
+        attempt = f"{number:016x}"
+        node = nodes[number % NODES]
         writer = None
         try:
             reader, writer = await asyncio.open_connection(node.ip, node.front)
-            data = request_bytes("POST", "/bundle/2f", attempt, 15010, b"x" * BODY_BYTES)
-            record.add(f"sent {attempt}, {len(data)} B, over 13.3 s")
-            for start in range(0, len(data), PIECE_BYTES):
-                writer.write(data[start : start + PIECE_BYTES])
-                await writer.drain()
-                await asyncio.sleep(PIECE_BYTES / CLIENT_BYTES_PER_S)
-            line, headers = await asyncio.wait_for(read_head(reader), 16)
+            writer.write(request_bytes("POST", "/pay/2f", attempt, 1509, b"amount=1"))
+            line, headers = await asyncio.wait_for(read_head(reader), 3)
             await read_body(reader, headers)
             end = line.split(" ")[1]
         except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
-            end = f"channel closed ({type(error).__name__})"
+            end = type(error).__name__
         finally:
             if writer is not None:
                 writer.close()
-        record.add(f"answered {attempt} {end}")
-        ends[f"bundle {end}"] += 1
-
-    async def pay(channel):
-        """Send payments one after the other on one kept channel."""
-        number = 0
-        await asyncio.sleep(0.12 * channel / KEPT_CHANNELS)
-        while not is_over():
-            try:
-                reader, writer = await asyncio.open_connection(node.ip, node.front)
-            except OSError:
-                await asyncio.sleep(0.2)
-                continue
-            on_channel = 0
-            try:
-                while not is_over():
-                    number += 1
-                    on_channel += 1
-                    attempt = f"{channel:08x}{number:08x}"
-                    writer.write(
-                        request_bytes("POST", "/pay/2f", attempt, 3005, b"amount=1")
-                    )
-                    line, headers = await asyncio.wait_for(read_head(reader), 4)
-                    await read_body(reader, headers)
-                    ends[f"payment {line.split(' ')[1]}"] += 1
-                    await asyncio.sleep(0.03)
-            except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
-                end = f"channel closed ({type(error).__name__})"
-                ends[f"payment {end}"] += 1
-                record.add(f"answered {attempt} {end}, request {on_channel} on it")
-                if attempt in runs and on_channel > 1:
-                    lost.append(attempt)
-                    record.add(f"LOST: {attempt} was passed on to a sound worker")
-            finally:
-                writer.close()
-
-    async def watch_memory():
-        """Kill a process that exceeds its memory, as the platform does."""
-        nonlocal peak
-        noted = 0
-        while not is_over():
-            used = anonymous_bytes(node.process.pid)
-            if used > noted + 20_000_000:
-                noted = used
-                record.add(f"{node.name} has {used / 2**20:.0f} MiB")
-            peak = max(peak, used)
-            if used > MEMORY_LIMIT_BYTES:
-                record.add(f"{node.name} exceeds MemoryMb: {used / 2**20:.0f} MiB")
-                node.signal(signal.SIGKILL)
-                node.process.wait()
-                await asyncio.sleep(1)
-                node.start()
-            await asyncio.sleep(0.05)
-
-    tasks = [asyncio.create_task(pay(channel)) for channel in range(KEPT_CHANNELS)]
-    tasks.append(asyncio.create_task(watch_memory()))
-    number = 0
-    while not is_over():
-        number += 1
-        tasks.append(asyncio.create_task(upload(number)))
-        at = time.monotonic() - started
-        is_burst = has_trouble and BURST_FROM_S <= at < BURST_FROM_S + BURST_FOR_S
-        rate = UPLOADS_PER_S * (BURST_X if is_burst else 1)
-        await asyncio.sleep(1 / rate)
+        ends[end] += 1
+
+    async def traffic():
+        nonlocal sent
+        while True:
+            sent += 1
+            task = asyncio.create_task(send(sent))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            await asyncio.sleep(1 / REQUESTS_PER_S)
+
+    tasks = set()
+    source = asyncio.create_task(traffic())
+    for cycle in range(CYCLES):
+        await asyncio.sleep(4)
+        if has_trouble:
+            path.is_cut = True
+            record.add(f"{nodes[0].name} is cut off from the store")
+        await asyncio.sleep(CUT_S)
+        path.is_cut = False
+        in_touch_from = record.now() + STABLE_S
+        record.add(f"the path to the store is back; in touch from {in_touch_from:.3f}")
+        await asyncio.sleep(LEAVE_AFTER_S)
+        leaving = workers[cycle % 3]
+        store.remove(f"servers/{leaving.name}")
+        gone_at[leaving.name] = record.now()
+        record.add(f"the store has removed {leaving.name}")
+        workers[cycle % 3] = await add_worker(4 + cycle)
+        await asyncio.sleep(SERVES_ON_S)
+        leaving.stop()
+        record.add(f"{leaving.name} has ended")
+    source.cancel()
     await asyncio.gather(*tasks)
-    record.add(f"ends {dict(ends)}, most memory {peak / 2**20:.0f} MiB")
-    record.add(f"lost on kept channels {len(lost)}")
-    return len(lost) > 3
+    record.add(f"sent {sent}, ends {dict(ends)}, late at a worker {len(broken)}")
+    return bool(broken)
 
 
 run_case(main, Path(__file__).resolve().parent)
--- a/review/standins.py
+++ b/review/standins.py
@@ -118,6 +118,12 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def remove(self, key):
+        self.revision += 1
+        del self.items[key]
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def _serve(self, reader, writer):
         try:
             while True:
@@ -197,6 +203,10 @@
         self.address = f"{self.ip}:{port}"
         self.born = int(time.time() * 1000)
 
+    def stop(self):
+        """Stop accepting connections."""
+        self._server.close()
+
     def entry(self, state="ready"):
         self.sequence += 1
         return {
