--- a/review/1/case.py
+++ b/review/1/case.py
@@ -53,7 +53,9 @@
         head = worker.head(request, extra=f"Content-Length: {len(body)}\r\n\r\n")
         writer.write(head.encode() + body)
 
-    workers = [Worker(f"i-duka-{n}", "duka-app", f"{net}.1.{n}", run) for n in (1, 2, 3)]
+    workers = [
+        Worker(f"i-duka-{n}", "duka-app", f"{net}.1.{n}", run) for n in (1, 2, 3)
+    ]
     for worker in workers:
         await worker.start()
         store.put(f"servers/{worker.name}", worker.entry())
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -74,7 +74,14 @@
         await worker.start()
         store.put(f"servers/{worker.name}", worker.entry())
     routes = [
-        route("counter-reply", "/chat/", "stream", "pond-llm", Resumable=True, GapAimMs=250)
+        route(
+            "counter-reply",
+            "/chat/",
+            "stream",
+            "pond-llm",
+            Resumable=True,
+            GapAimMs=250,
+        )
     ]
     services = [{"Name": "pond-llm", "MaxConnections": 909, "Engine": ENGINE}]
     store.put("op/config", config(7, routes, services))
@@ -129,7 +136,9 @@
     number = 0
     while (at := time.monotonic() - started) < LENGTH_S:
         if has_trouble and SPOIL_FROM_S <= at < SPOIL_FROM_S + SPOIL_FOR_S:
-            spoiling.update(w.name for w in workers[: int(SPOIL_WORKERS * len(workers))])
+            spoiling.update(
+                w.name for w in workers[: int(SPOIL_WORKERS * len(workers))]
+            )
         else:
             spoiling.clear()
         number += 1
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,8 +1,7 @@
-"""A machine is cut off from the store; a worker leaves soon after the cut has healed."""
+"""A machine is cut off from the store; a worker leaves soon after the cut."""
 
 import asyncio
 import sys
-import time
 from collections import Counter
 from pathlib import Path
 
@@ -21,7 +20,7 @@
     run_case,
 )
 
-# core_cut, how refuse: one machine is cut off from the store for 5.5 s, here five times.
+# core_cut, how refuse: one machine is cut off from the store for 5.5 s, five times.
 NODES = 1
 CUT_S = 5.5
 CYCLES = 5
@@ -83,7 +82,8 @@
         now = record.now()
         left = gone_at.get(worker.name)
         if left is not None:
-            text = f"{request['id']} reaches {worker.name} {now - left:.2f} s after it left"
+            late_s = now - left
+            text = f"{request['id']} reaches {worker.name} {late_s:.2f} s after it left"
             record.add(text)
             if now - left > DRAIN_S and now > in_touch_from:
                 broken.append(request["id"])
--- a/review/standins.py
+++ b/review/standins.py
@@ -47,7 +47,7 @@
     """The record of a case: what was sent, answered and run, with times."""
 
     def __init__(self, path):
-        self._file = open(path, "w")
+        self._file = Path(path).open("w")  # noqa: SIM115
         self._started = time.monotonic()
 
     def now(self):
@@ -247,7 +247,8 @@
                     data = json.dumps(out).encode()
                     writer.write(
                         f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                        f"Content-Length: {len(data)}\r\n\r\n".encode() + data
+                        f"Content-Length: {len(data)}\r\n\r\n".encode()
+                        + data
                     )
                 elif headers.get("dandelionpond-expect-instance") != self.name:
                     writer.write(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
@@ -309,7 +310,7 @@
     def __init__(self, name, ip, folder, store, seeds, zone="dar-a", **bounds):
         self.name, self.ip, self.folder = name, ip, Path(folder)
         self.front, self.ready, self.control = (free_port(ip) for _ in range(3))
-        self.log = open(self.folder / f"{name}.log", "w")
+        self.log = (self.folder / f"{name}.log").open("w")
         values = {
             "GraceS": 8,
             "DrainMs": 2000,
