--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,4 +2,4 @@
 # TROUBLE=0 leaves out the disruption.
 TROUBLE="${TROUBLE:-1}"
 export TROUBLE
-exec python3 "$(dirname "$0")/case.py"
+exec python3 -B "$(dirname "$0")/case.py"
